--- /dev/null
+++ b/brackenlane/__init__.py
@@ -0,0 +1,1 @@
+"""The doorman round the decisions of frostsail: real sockets in front, cache boxes behind."""
--- /dev/null
+++ b/brackenlane/config.py
@@ -0,0 +1,99 @@
+"""What the doorman is told at start: read once, into the few values that are used."""
+
+from __future__ import annotations
+
+import ipaddress
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from frostsail import drill
+from frostsail.interface import Role, Settings
+
+Endpoint = tuple[str, int]
+
+
+class ConfigError(Exception):
+    """Something that cannot be used, in one plain line."""
+
+
+@dataclass(frozen=True, slots=True)
+class Site:
+    """The names by which the list's numbers and words are read."""
+
+    zones: tuple[str, ...]
+    kinds: tuple[str, ...]
+    roles: dict[str, Role]
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """One doorman's start."""
+
+    name: str
+    listen: Endpoint
+    settings: Settings
+    site: Site
+    seed: int = 0
+    changelog: Endpoint | None = None
+    known: dict[str, Any] = field(default_factory=dict)
+
+
+def read_endpoint(text: object, what: str) -> Endpoint:
+    """An address and port."""
+    host, _, port = str(text).rpartition(":")
+    try:
+        address = ipaddress.ip_address(host.strip("[]"))
+        number = int(port)
+        if not 0 <= number <= 65535:
+            raise ValueError(port)
+    except ValueError:
+        raise ConfigError(f"{what}: {text!r} is no address and port") from None
+    return str(address), number
+
+
+def read_settings(raw: Any) -> tuple[Settings, Site]:
+    """The settings as the module takes them, and the names that the list uses."""
+    if not isinstance(raw, dict):
+        raise ConfigError("settings: an object is needed")
+    try:
+        site = Site(tuple(raw.get("Dcs", ())), tuple(raw.get("Skus", ())), drill.kind_roles(raw))
+        return drill.read_settings(raw), site
+    except (ValueError, TypeError, IndexError) as fault:
+        raise ConfigError(f"settings: {fault}") from None
+
+
+def parse(text: bytes) -> Config:
+    """The configuration from its JSON text."""
+    try:
+        raw = orjson.loads(text)
+    except orjson.JSONDecodeError as fault:
+        raise ConfigError(f"configuration is not JSON: {fault}") from None
+    if not isinstance(raw, dict):
+        raise ConfigError("configuration: an object is needed")
+    for name in ("name", "listen", "settings"):
+        if name not in raw:
+            raise ConfigError(f"{name}: missing")
+    settings, site = read_settings(raw["settings"])
+    try:
+        seed = int(str(raw.get("seed", "0")), 16)
+    except ValueError:
+        raise ConfigError(f"seed: {raw['seed']!r} is not a hexadecimal number") from None
+    known = raw.get("known", {})
+    if not isinstance(known, dict):
+        raise ConfigError("known: an object is needed")
+    log = raw.get("changelog")
+    return Config(str(raw["name"]), read_endpoint(raw["listen"], "listen"), settings, site, seed,
+                  read_endpoint(log, "changelog") if log else None, known)
+
+
+def load(path: str | None) -> Config:
+    """The configuration from its file."""
+    if not path:
+        raise ConfigError("GW_CONFIG: names no file")
+    try:
+        return parse(Path(path).read_bytes())
+    except OSError as fault:
+        raise ConfigError(f"GW_CONFIG: {path}: {fault.strerror}") from None
--- /dev/null
+++ b/brackenlane/fleet.py
@@ -0,0 +1,61 @@
+"""What we were told of boxes and purges, for the last check as something is written."""
+
+from __future__ import annotations
+
+import math
+
+from frostsail.interface import Arrival, Fetch, ListKind, Member, Membership, Purged, Settings, State
+
+
+class Fleet:
+    """The list and the purges as told; only the core changes it, the peers look at it."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.members: dict[str, Member] = {}
+        self.purges: dict[str | int, float] = {}  # by object (text) or group (number): Unix time
+        self.told = False  # whether a list has come
+        self._keep = 2 * settings.purge_done
+        self._tick = settings.tick
+        self._bounds = {c.name: c.fresh + c.grace for c in settings.classes if c.fresh}
+
+    def hear(self, event: Membership | Purged, now: float) -> None:
+        """Follow one event."""
+        if isinstance(event, Purged):
+            key, at = event.obj or event.group, now - event.age
+            self.purges[key] = max(at, self.purges.get(key, at))
+            if len(self.purges) % 64 == 0:
+                self.purges = {k: v for k, v in self.purges.items() if v > now - self._keep}
+            return
+        if event.kind is not ListKind.CHANGES:
+            self.members = {}
+        for member in event.members:
+            if member.state is State.GONE:
+                self.members.pop(member.server, None)
+            else:
+                self.members[member.server] = member
+        self.told = True
+
+    def serving(self, server: str) -> bool:
+        """Whether new work may go to a box."""
+        member = self.members.get(server)
+        return member is not None and member.state is State.SERVING
+
+    def allows(self, fetch: Fetch) -> bool:
+        """Guards against a drain heard while an attempt waited for its connection, also of its source.
+
+        The rule leaves 500 ms after the news; nothing here needs them, so none are used.
+        """
+        return self.serving(fetch.server) and self.serving(fetch.source)
+
+    def max_age(self, fetch: Fetch, ask: Arrival, now: float) -> float:
+        """The attempt's age limit, tightened by purges heard since it was decided; 0 for none."""
+        age = fetch.max_age or math.inf
+        for key in (ask.obj, ask.group):
+            since = now - self.purges.get(key, -math.inf)
+            if since <= self._keep:
+                age = min(age, max(since - self._tick, 0.001))
+        return 0.0 if age == math.inf else age
+
+    def too_old(self, ask: Arrival, issued: float, sent: float, slack: float) -> bool:
+        """Guards against a copy older than its class may ever be served, whoever says that it will do."""
+        return sent - issued > self._bounds.get(ask.cls, math.inf) + slack
--- /dev/null
+++ b/brackenlane/limits.py
@@ -0,0 +1,48 @@
+"""Every size, count and time that the program keeps to, in one place."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """Filled at start and handed down; sizes are in bytes, times in seconds."""
+
+    # Clients
+    head: int = 16_384  # request line and headers
+    upload: int = 48_000  # body of a write
+    clients: int = 400  # connections at once; of the 1,024 descriptors the boxes need the rest
+    client_idle: float = 20.0  # without an open request
+    request_time: float = 10.0  # from a request's first byte to its last
+    linger: float = 0.5  # reads on after an error, so that the answer is not lost to a reset
+    longest_wait: float = 60.0  # the most that a client may ask us to wait
+    answer_margin: float = 0.005  # of a client's time, kept for the way back
+    answer_slack: float = 0.05  # past a client's time, within which an answer still counts
+    retry_after: int = 1  # whole seconds, on a refusal for which the module names no time
+
+    # Cache boxes
+    object_size: int = 240_000  # the largest body of an answer
+    line: int = 2_048  # the longest line of an answer
+    link_waiting: int = 100  # open requests on one connection
+    links: int = 8  # connections to one box
+    given_up: int = 512  # ids remembered per connection, whose late answers are ignored
+    write_stall: float = 1.0  # a connection that takes no byte for so long is closed
+    keepalive: float = 24.0  # own idle connections are closed before the box does it (30 s)
+
+    # Mailboxes
+    core_mail: int = 4_096
+    peer_mail: int = 512
+
+    # List of boxes
+    frame: int = 1_048_576  # the longest frame of the change log
+    log_silence: float = 3.5  # it sends something each second; silent for longer, it is asked anew
+    log_retry: float = 0.2  # between two tries to reach it
+
+    # Purges and drains
+    age_slack: float = 0.05  # clocks of two machines
+    core_slack: float = 0.01  # past its time a request that the module forgot is failed by the core
+
+    # SIGTERM
+    leaving: float = 0.8  # goes on taking what comes
+    last_answers: float = 6.5  # then finishes what it has, at most
--- /dev/null
+++ b/brackenlane/net/boxwire.py
@@ -0,0 +1,123 @@
+"""The lines between a doorman and a cache box, apart from any socket."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from brackenlane.limits import Limits
+from frostsail.interface import Arrival, Fetch, Note, Verdict
+
+VERDICTS = {
+    "data": Verdict.OK, "unchanged": Verdict.OK, "absent": Verdict.MISS, "full": Verdict.FULL,
+    "failed": Verdict.ERROR, "moot": Verdict.NEVER_SENT,
+}
+NOTES = {
+    "hit": Note.HIT, "filled": Note.FILLED, "via_origin": Note.FILLED_BY_ORIGIN, "joined": Note.JOINED,
+    "stale": Note.STALE, "src_refused": Note.SOURCE_REFUSED, "src_broke": Note.SOURCE_FAILED,
+    "src_lacks": Note.SOURCE_LACKS, "no_slot": Note.NO_PLACE, "origin_failed": Note.ORIGIN_FAILED,
+}
+
+
+class WireError(Exception):
+    """Bytes that are no answer of a cache box."""
+
+
+@dataclass(slots=True, frozen=True)
+class BoxAnswer:
+    """One answer as it came."""
+
+    id: str
+    word: str
+    fields: dict[str, str]
+    body: bytes
+
+    @property
+    def verdict(self) -> Verdict:
+        """What the word says; one that is not known may have run."""
+        return VERDICTS.get(self.word, Verdict.ERROR)
+
+    @property
+    def note(self) -> Note:
+        """How the answer came about."""
+        return NOTES.get(self.fields.get("detail", ""), Note.UNTOLD)
+
+    @property
+    def issued(self) -> float | None:
+        """When the origin gave out this copy, in Unix seconds."""
+        try:
+            return int(self.fields["issued"]) / 1000
+        except (KeyError, ValueError):
+            return None
+
+
+def encode_get(wire_id: str, ask: Arrival, fetch: Fetch, budget: float, max_age: float,
+               tag: str, body: bytes) -> bytes:
+    """The request of one attempt; times are cut to whole milliseconds, never up."""
+    fields = {"queue": ask.cls, "path": ask.obj, "blk": str(ask.part),
+              "budget": str(max(1, int(budget * 1000)))}
+    if fetch.source != fetch.server:
+        fields["miss"] = fetch.source
+    if fetch.keep:
+        fields["prio"] = str(fetch.keep)
+    if max_age > 0:
+        fields["within"] = str(max(1, int(max_age * 1000)))
+    how = [word for word, on in
+           (("coalesce", fetch.join), ("shallow", fetch.held_only), ("freshen", fetch.renew)) if on]
+    if how:
+        fields["f"] = "+".join(how)
+    if tag:
+        fields["mine"] = tag
+    line = ",".join(f"{name}={value}" for name, value in fields.items())
+    return b"GET %b %b %d\r\n%b\r\n" % (wire_id.encode(), line.encode(), len(body), body)
+
+
+def encode_drop(wire_id: str) -> bytes:
+    """Gives a request up."""
+    return b"DROP %b\r\n" % wire_id.encode()
+
+
+class Parser:
+    """Answers out of bytes as they come."""
+
+    def __init__(self, limits: Limits) -> None:
+        self._limits = limits
+        self._buffer = bytearray()
+        self._head: tuple[str, str, dict[str, str], int] | None = None
+
+    def feed(self, data: bytes | bytearray) -> Iterator[BoxAnswer]:
+        """The answers that these bytes complete."""
+        self._buffer += data
+        while True:
+            if self._head is None:
+                end = self._buffer.find(b"\n")
+                if end > self._limits.line or (end < 0 and len(self._buffer) > self._limits.line):
+                    raise WireError("a line too long")
+                if end < 0:
+                    return
+                line = bytes(self._buffer[:end]).rstrip(b"\r")
+                del self._buffer[:end + 1]
+                if not line:
+                    continue
+                self._head = self._read_head(line)
+            length = self._head[3]
+            if len(self._buffer) < length + 2:
+                return
+            if self._buffer[length:length + 2] != b"\r\n":
+                raise WireError("a body not as long as announced")
+            wire_id, word, fields, _ = self._head
+            body = bytes(self._buffer[:length])
+            del self._buffer[:length + 2]
+            self._head = None
+            yield BoxAnswer(wire_id, word, fields, body)
+
+    def _read_head(self, line: bytes) -> tuple[str, str, dict[str, str], int]:
+        try:
+            wire_id, word, told, size = line.decode("ascii").split(" ")
+            length = int(size)
+        except ValueError:
+            raise WireError(f"no answer: {line[:60]!r}") from None
+        if not 0 <= length <= self._limits.object_size:
+            raise WireError(f"a body of {length} bytes")
+        pairs = (pair.partition("=") for pair in told.split(",")) if told != "-" else ()
+        return wire_id, word, {name: value for name, _, value in pairs}, length
--- /dev/null
+++ b/brackenlane/net/clients.py
@@ -0,0 +1,281 @@
+"""Clients on HTTP/1.1: requests in, the core's answers out."""
+
+from __future__ import annotations
+
+import logging
+import math
+import re
+import time
+from dataclasses import dataclass
+from http import HTTPStatus
+
+import h11
+import trio
+
+from brackenlane.core import Answer, Ask, Core, Ending
+from brackenlane.limits import Limits
+from frostsail.interface import Arrival, RequestClass
+
+log = logging.getLogger(__name__)
+
+TARGET = re.compile(r"/api/v2/([^/?#]{1,64})/([^/?#,\s=]{1,64})/n-(\d{1,9})")
+TXN = re.compile(r"[0-9a-fA-F]{16}")
+TAG = re.compile(r'(?:W/)?"([\w.:-]{1,64})"')
+HEALTHY = "/-/healthy"
+Headers = dict[str, str]
+
+
+class BadRequest(Exception):
+    """A request that gets an error answer of its own."""
+
+    def __init__(self, status: HTTPStatus, text: str, headers: Headers | None = None) -> None:
+        super().__init__(text)
+        self.status, self.headers = status, headers or {}
+
+
+@dataclass(slots=True, frozen=True)
+class Reading:
+    """One request as it was read."""
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+
+
+def read_ask(reading: Reading, classes: dict[str, RequestClass], limits: Limits, name: str,
+             now: float) -> Ask:
+    """The request that a client makes, or its fault."""
+    found = TARGET.fullmatch(reading.target)
+    cls = classes.get(found[1]) if found else None
+    if found is None or cls is None:
+        raise BadRequest(HTTPStatus.NOT_FOUND, "no such class or object")
+    method = "PUT" if cls.uncached else "GET"
+    if reading.method != method:
+        raise BadRequest(HTTPStatus.METHOD_NOT_ALLOWED, f"this class takes {method}", {"Allow": method})
+    txn, ttl = reading.headers.get("x-txn", ""), reading.headers.get("x-ttl-ms", "")
+    shard = reading.headers.get("x-shard", "")
+    if not TXN.fullmatch(txn):
+        raise BadRequest(HTTPStatus.BAD_REQUEST, "X-Txn must be 16 hexadecimal digits")
+    if not (ttl.isascii() and ttl.isdigit() and 0 < len(ttl) < 10):
+        raise BadRequest(HTTPStatus.BAD_REQUEST, "X-Ttl-Ms must be a number of milliseconds")
+    if shard and not (shard.isascii() and shard.isdigit() and len(shard) < 4 and int(shard) < 256):
+        raise BadRequest(HTTPStatus.BAD_REQUEST, "X-Shard must be 0 to 255")
+    left = min(int(ttl) / 1000, limits.longest_wait) - limits.answer_margin
+    have = TAG.fullmatch(reading.headers.get("if-none-match", ""))
+    arrival = Arrival(name, max(left, 0.001), cls.name, found[2], int(found[3]), int(shard or -1),
+                      is_write=cls.uncached, is_retry=reading.headers.get("x-second-try") == "1")
+    return Ask(arrival, now + max(left, 0.001), txn, have[1] if have else "", reading.body)
+
+
+def word_answer(answer: Answer) -> tuple[HTTPStatus, Headers, bytes]:
+    """Status, headers and body of a final answer."""
+    tag = {"ETag": f'"{answer.tag}"'} if answer.tag else {}
+    match answer.ending:
+        case Ending.SERVED:
+            return HTTPStatus.OK, {"Content-Type": "application/octet-stream", **tag}, answer.body
+        case Ending.UNCHANGED:
+            return HTTPStatus.NOT_MODIFIED, tag, b""
+        case Ending.REFUSED:
+            return (HTTPStatus.SERVICE_UNAVAILABLE, {"Retry-After": str(max(1, math.ceil(answer.hold_off)))},
+                    b"refused, nothing ran: try again\n")
+    return HTTPStatus.GATEWAY_TIMEOUT if answer.late else HTTPStatus.BAD_GATEWAY, {}, b"failed\n"
+
+
+class Door:
+    """All client connections of one doorman."""
+
+    def __init__(self, core: Core, limits: Limits) -> None:
+        self._core, self._limits = core, limits
+        self._classes = {c.name: c for c in core.settings.classes}
+        self._txns: set[str] = set()  # in hand
+        self._idle: dict[Client, None] = {}  # connections without an open request, longest idle first
+        self._count = 0
+        self.closing = False  # answers end their connections
+        self._empty = trio.Event()  # set when the last connection ends
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        """One client connection."""
+        if self._count >= self._limits.clients:
+            # Guards our descriptors: a connection with no open request gives way, else the new one does.
+            if not self._idle:
+                await trio.aclose_forcefully(stream)
+                return
+            next(iter(self._idle)).hang_up()
+        client = Client(self, stream, self._limits)
+        self._count += 1
+        try:
+            await client.run()
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        except Exception:  # one client must not end the others
+            log.exception("a client's connection failed")
+        finally:
+            self._count -= 1
+            if not self._count:
+                self._empty.set()
+            self._idle.pop(client, None)
+            with trio.move_on_after(self._limits.linger, shield=True):
+                await stream.aclose()
+
+    def leave(self) -> None:
+        """Close what is idle, and every other connection after its answer."""
+        self.closing = True
+        for client in list(self._idle):
+            client.hang_up()
+
+    async def emptied(self) -> None:
+        """Wait until no connection is left."""
+        while self._count:
+            self._empty = trio.Event()
+            await self._empty.wait()
+
+    def set_idle(self, client: Client, idle: bool) -> None:
+        """Note whether a connection has an open request."""
+        self._idle.pop(client, None)
+        if idle:
+            self._idle[client] = None
+            if self.closing:
+                client.hang_up()
+
+    async def answer(self, reading: Reading) -> tuple[HTTPStatus, Headers, bytes]:
+        """The answer to one request."""
+        if reading.target == HEALTHY:
+            if reading.method != "GET":
+                raise BadRequest(HTTPStatus.METHOD_NOT_ALLOWED, "health takes GET", {"Allow": "GET"})
+            ready = self._core.fleet.told and not self.closing
+            return (HTTPStatus.OK, {}, b"healthy\n") if ready else (
+                HTTPStatus.SERVICE_UNAVAILABLE, {"Retry-After": "1"}, b"not ready\n")
+        ask = read_ask(reading, self._classes, self._limits, self._core.new_id(), time.time())
+        if ask.wire_id in self._txns:
+            raise BadRequest(HTTPStatus.CONFLICT, "this X-Txn is in hand already")
+        self._txns.add(ask.wire_id)
+        try:
+            return word_answer(await self._core.ask(ask))
+        finally:
+            self._txns.discard(ask.wire_id)
+
+
+class Client:
+    """One client connection: one request at a time."""
+
+    def __init__(self, door: Door, stream: trio.SocketStream, limits: Limits) -> None:
+        self._door, self._stream, self._limits = door, stream, limits
+        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.head)
+        self._waiting = trio.CancelScope()
+
+    def hang_up(self) -> None:
+        """End the connection, which has no open request."""
+        self._waiting.cancel()
+
+    async def run(self) -> None:
+        """Serve requests until either side ends."""
+        while True:
+            try:
+                reading = await self._read()
+                if reading is None:
+                    return
+                worded = await self._answer(reading)
+                if worded is None:
+                    return  # the client has left: nothing is owed
+            except h11.RemoteProtocolError as fault:
+                status = HTTPStatus(fault.error_status_hint or 400)
+                await self._send(status, {"Connection": "close"}, b"not HTTP as it should be\n")
+                return await self._drain()
+            except BadRequest as fault:
+                whole = self._http.their_state in (h11.DONE, h11.MUST_CLOSE)
+                close = {} if whole else {"Connection": "close"}
+                worded = fault.status, {**fault.headers, **close}, f"{fault}\n".encode()
+            await self._send(*worded)
+            if self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
+                return await self._drain()
+            self._http.start_next_cycle()
+
+    async def _read(self) -> Reading | None:
+        """The next request, whole; None if there is none."""
+        head: h11.Request | None = None
+        body = bytearray()
+        self._waiting = trio.CancelScope(deadline=trio.current_time() + self._limits.client_idle)
+        self._door.set_idle(self, True)
+        if self._http.trailing_data[0]:
+            self._door.set_idle(self, False)
+        with self._waiting:
+            while True:
+                event = self._http.next_event()
+                if event is h11.NEED_DATA:
+                    if head and self._http.they_are_waiting_for_100_continue:
+                        await self._stream.send_all(self._http.send(
+                            h11.InformationalResponse(status_code=100, headers=[])) or b"")
+                    data = await self._stream.receive_some(65536)
+                    if data and head is None:
+                        self._door.set_idle(self, False)
+                        self._waiting.deadline = trio.current_time() + self._limits.request_time
+                    self._http.receive_data(data)
+                elif isinstance(event, h11.Request):
+                    head = event
+                    told = dict(event.headers).get(b"content-length", b"0")
+                    if int(told) > self._limits.upload:
+                        raise BadRequest(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large")
+                elif isinstance(event, h11.Data):
+                    body += event.data
+                    if len(body) > self._limits.upload:
+                        raise BadRequest(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large")
+                elif isinstance(event, h11.EndOfMessage) and head:
+                    self._door.set_idle(self, False)
+                    return Reading(head.method.decode(), head.target.decode(),
+                                   {k.decode(): v.decode("latin-1") for k, v in head.headers}, bytes(body))
+                else:
+                    return None
+        return None
+
+    async def _answer(self, reading: Reading) -> tuple[HTTPStatus, Headers, bytes] | None:
+        """The answer; None once the client has left, which takes back its work."""
+        worded: tuple[HTTPStatus, Headers, bytes] | None = None
+        fault: BadRequest | None = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch, nursery.cancel_scope)
+            try:
+                worded = await self._door.answer(reading)
+            except BadRequest as wrong:
+                fault = wrong
+            nursery.cancel_scope.cancel()
+        if fault:
+            raise fault
+        return worded
+
+    async def _watch(self, scope: trio.CancelScope) -> None:
+        """Cancel the answer once the client leaves; bytes of a next request are kept, up to a bound."""
+        room = self._limits.head
+        while room > 0:
+            try:
+                data = await self._stream.receive_some(room)
+            except trio.BrokenResourceError:
+                data = b""
+            if not data:
+                scope.cancel()
+                return
+            self._http.receive_data(data)
+            room -= len(data)
+
+    async def _send(self, status: HTTPStatus, headers: Headers, body: bytes) -> None:
+        """One whole answer; cut short, its length shows it, and the connection ends."""
+        if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        sent = {**headers} if status is HTTPStatus.NOT_MODIFIED else {
+            **headers, "Content-Length": str(len(body))}
+        if self._door.closing:
+            sent["Connection"] = "close"
+        parts = [self._http.send(h11.Response(status_code=status, headers=list(sent.items()),
+                                              reason=status.phrase.encode()))]
+        if body:
+            parts.append(self._http.send(h11.Data(data=body)))
+        parts.append(self._http.send(h11.EndOfMessage()))
+        with trio.fail_after(self._limits.request_time):
+            await self._stream.send_all(b"".join(part for part in parts if part))
+
+    async def _drain(self) -> None:
+        """Guards an error's answer from the reset that follows unread bytes."""
+        with trio.move_on_after(self._limits.linger):
+            await self._stream.send_eof()
+            while await self._stream.receive_some(65536):
+                pass
