Assume a cache's link where the list's weights are silent

Cause: brain.py _fits took weight 1, which this site's list gives to all ('Weights': 'silent'), for a link that bears one transfer, and __init__ started each class's mean sending time at its whole aim, so that left * weight stayed under 1 for a submit.

--- a/frostsail/brain.py
+++ b/frostsail/brain.py
@@ -8,6 +8,7 @@
 
 import math
 import random
+from dataclasses import replace
 from hashlib import blake2b
 from itertools import chain
 
@@ -27,6 +28,7 @@
 RETRIES = 0.2  # further attempts earned by each request
 SUSPECT = 2.0  # blame that takes a server out
 HEADROOM = 0.7  # of the time left that an attempt may need by its cache's crowd
+UNTOLD = {Role.EDGE: 4.0, Role.PARENT: 10.0, Role.ORIGIN: 16.0}  # transfers, where weights are not told
 MARGIN = 0.85  # part of a cold budget that is used: weights and sizes are known roughly
 
 
@@ -83,7 +85,7 @@
         self.purges: dict[str | int, float] = {}  # by object (text) or group (number): when
         self.heat: dict[str, tuple[float, float]] = {}  # aged work asked for per object
         self.sizes: dict[str, float] = {}  # sending times by object's part, where sizes are not told
-        self.means = {c.name: c.aim for c in settings.classes}  # mean sending time, learned
+        self.means = {c.name: c.aim / 4 for c in settings.classes}  # mean sending time, learned
         self.mean_wait, self.wait_dev, self.strained = 0.5, 0.25, False  # of answers, in aims, learned
         self.misses = 0.5  # share of answers that were filled, learned
         self.retries = 1 / RETRIES
@@ -134,7 +136,7 @@
             known = self.servers.get(m.server)
             if known is None or m.started_at > known.born:
                 known = self.servers[m.server] = Server(m)  # a new start: cold, and nothing known of it
-            known.me = m
+            known.me = m if self.s.weights_told else replace(m, weight=UNTOLD[m.role])
         serving = [s for s in self.servers.values() if s.me.state is State.SERVING]
         self.edges = [s for s in serving if s.me.role is Role.EDGE and s.me.zone == self.s.location]
         self.origin = next((s for s in serving if s.me.role is Role.ORIGIN), None)
--- a/frostsail/drill.py
+++ b/frostsail/drill.py
@@ -51,6 +51,7 @@
             answer_slack=rules.get("AnswerSlackS", 0.0), connect_timeout=limits.get("DialTimeoutS", 1.0),
             purge_done=family.get("GoneEverywhereS", 0.0), max_attempts=limits.get("MaxAttempts", 1),
             max_hold_off=limits.get("MaxRetryAfterS", 0.0) if limits.get("RetryAfter") else 0.0,
+            weights_told=raw.get("Weights") != "silent",
             must_ask=raw.get("Discovery") == "ask", may_cancel=limits.get("Cancel", False),
             may_probe=limits.get("MayProbe", False), may_tell=limits.get("Peers", False),
             second_copies=limits.get("SecondCopies", False), direct=family.get("BypassAllowed", False),
--- a/frostsail/interface.py
+++ b/frostsail/interface.py
@@ -164,6 +164,7 @@
     purge_done: float = 0.0
     max_attempts: int = 1
     max_hold_off: float = 0.0
+    weights_told: bool = True  # else every weight is 1 and tells nothing
     must_ask: bool = False
     may_cancel: bool = False
     may_probe: bool = False
