--- /dev/null
+++ b/tests/test_example.py
@@ -0,0 +1,43 @@
+"""The example as a newcomer tries it: the toy site and the program, from the files that lie there."""
+
+from __future__ import annotations
+
+import re
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+import trio
+
+from tests.stand_ins import ROOT, free_port, program, with_trio
+
+
+def moved(tmp_path: Path, name: str) -> tuple[Path, dict[str, int]]:
+    """A file of the example with free ports instead of its own."""
+    text = (ROOT / name).read_text()
+    ports = {old: free_port() for old in set(re.findall(r"\b7[01]\d\d\b", text))}
+    path = tmp_path / Path(name).name
+    path.write_text(re.sub(r"\b7[01]\d\d\b", lambda found: str(ports[found[0]]), text))
+    return path, ports
+
+
+@pytest.mark.parametrize(("name", "door"), [("example/config.json", "7001"), ("deploy/appliance.toml", "7080")])
+@with_trio
+async def test_example(tmp_path: Path, name: str, door: str) -> None:
+    """The toy boxes answer through the doorman."""
+    path, ports = moved(tmp_path, name)
+    toy = await trio.lowlevel.open_process([sys.executable, "example/toy_site.py", str(path)], cwd=ROOT,
+                                           stdout=subprocess.PIPE)
+    try:
+        assert toy.stdout
+        assert b"are up" in await toy.stdout.receive_some(4096)
+        words = ("appliance", str(path)) if path.suffix == ".toml" else ()
+        async with program(ports[door], *words, GW_CONFIG=str(path)) as doorman:
+            status, _, body = await doorman.ask()
+            assert status == 200 and body.startswith(b"7f3a9c21e0b4d655/3 as ")
+            status, _, body = await doorman.ask("sheet-submit", body=b"signed")
+            assert status == 200 and body
+    finally:
+        toy.kill()
+        await toy.wait()
