--- a/brackenlane/core.py
+++ b/brackenlane/core.py
@@ -197,6 +197,7 @@
             actions = self._router.handle(event, now)
         except Exception:  # one bad decision must not end all the other requests in hand
             log.exception("the module failed on %r", event)
+            self._end(getattr(event, "request", ""), Answer(Ending.FAILED))
             return
         for action in actions:
             self._act(action, now)
--- a/brackenlane/net/clients.py
+++ b/brackenlane/net/clients.py
@@ -241,8 +241,8 @@
                 event = self._http.next_event()
                 if event is h11.NEED_DATA:
                     if head and self._http.they_are_waiting_for_100_continue:
-                        await self._stream.send_all(self._http.send(
-                            h11.InformationalResponse(status_code=100, headers=[])) or b"")
+                        go_on = h11.InformationalResponse(status_code=100, headers=[], reason=b"Continue")
+                        await self._stream.send_all(self._http.send(go_on) or b"")
                     data = await self._stream.receive_some(65536)
                     if data and head is None:
                         self._door.set_idle(self, False)
--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,127 @@
+"""The core without any wire: one final answer for each request, whatever module and boxes do."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Awaitable, Callable
+
+import pytest
+import trio
+
+from brackenlane.core import Answer, Ask, Attempt, Core, Ending, Reply
+from brackenlane.limits import Limits
+from frostsail.interface import (
+    Action, Arrival, Effect, Event, Fetch, ListKind, Membership, Refuse, RequestClass, Verdict,
+)
+from tests.rig import VIDEO, members, settings
+from tests.stand_ins import with_trio
+
+SUBMIT = RequestClass("submit", aim=0.8, give_up=3.0, effect=Effect.UNSAFE, uncached=True)
+
+
+class Bench:
+    """A core, and the attempts that it hands to its boxes."""
+
+    def __init__(self, place: Callable[[Attempt], bool] | None = None) -> None:
+        self.attempts: list[Attempt] = []
+        self.news = trio.Event()
+        self.core = Core(settings(classes=(VIDEO, SUBMIT), max_attempts=3), 1, Limits(), place or self.take)
+
+    def take(self, attempt: Attempt) -> bool:
+        """An attempt arrives at its box."""
+        self.attempts.append(attempt)
+        attempt.written = True
+        self.news.set()
+        return True
+
+    async def run(self, test: Callable[[], Awaitable[None]]) -> None:
+        """Run a test beside the core."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.core.run)
+            await self.core.tell(Membership(ListKind.FULL, tuple(members())))
+            await test()
+            nursery.cancel_scope.cancel()
+
+    async def ask(self, cls: str = "video", left: float = 3.0) -> Answer:
+        """One request."""
+        arrival = Arrival(self.core.new_id(), left, cls, "clip")
+        return await self.core.ask(Ask(arrival, time.time() + left))
+
+
+@with_trio
+async def test_one_answer() -> None:
+    """The first good answer is the only one, and later outcomes change nothing."""
+    bench = Bench()
+
+    async def answer() -> None:
+        await bench.news.wait()
+        await bench.core.report(bench.attempts[0], Reply(Verdict.OK, 0.1, body=b"first"))
+        await bench.core.report(bench.attempts[0], Reply(Verdict.OK, 0.1, body=b"second"))
+
+    async def test() -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(answer)
+            assert (await bench.ask()).body == b"first"
+        assert bench.core.open_asks == 0
+
+    await bench.run(test)
+
+
+@with_trio
+async def test_never_placed() -> None:
+    """Attempts that no box's mailbox takes end in a refusal, not in an endless round."""
+    bench = Bench(lambda attempt: False)
+
+    async def test() -> None:
+        answer = await bench.ask()
+        assert answer.ending is Ending.REFUSED and answer.hold_off > 0
+
+    await bench.run(test)
+
+
+@pytest.mark.parametrize(("verdict", "sent"), [
+    (Verdict.TIMEOUT, 1), (Verdict.BROKEN, 1), (Verdict.ERROR, 1), (Verdict.CANCELLED, 1),
+    (Verdict.UNREACHABLE, 2), (Verdict.MISS, 2), (Verdict.FULL, 2), (Verdict.NEVER_SENT, 2),
+])
+@with_trio
+async def test_unsafe(monkeypatch: pytest.MonkeyPatch, verdict: Verdict, sent: int) -> None:
+    """A module that sends again, then refuses, what may have run gets neither past the core."""
+    bench = Bench()
+
+    def careless(event: Event, now: float) -> list[Action]:
+        fetch = Fetch("q0", "edge-0", 3.0, "origin")
+        return [fetch] if isinstance(event, Arrival) else [fetch, Refuse("q0")] if bench.attempts else []
+
+    monkeypatch.setattr(bench.core._router, "handle", careless)
+
+    async def answer() -> None:
+        await bench.news.wait()
+        await bench.core.report(bench.attempts[0], Reply(verdict, 0.1))
+
+    async def test() -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(answer)
+            assert (await bench.ask("submit")).ending is Ending.FAILED
+        assert len(bench.attempts) == sent
+
+    await bench.run(test)
+
+
+@pytest.mark.parametrize(("fails", "late"), [(True, False), (False, True)])
+@with_trio
+async def test_bad_module(monkeypatch: pytest.MonkeyPatch, fails: bool, late: bool) -> None:
+    """A module that fails, or forgets a request, costs that request alone."""
+    bench = Bench()
+
+    def broken(event: Event, now: float) -> list[Action]:
+        if fails:
+            raise RuntimeError("a fault in a decision")
+        return []
+
+    monkeypatch.setattr(bench.core._router, "handle", broken)
+
+    async def test() -> None:
+        answer = await bench.ask(left=0.05)
+        assert answer.ending is Ending.FAILED and answer.late is late
+
+    await bench.run(test)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -151,6 +153,46 @@
         nursery.cancel_scope.cancel()
 
 
+@with_trio
+async def test_mute_machine(tmp_path: Path) -> None:
+    """A machine that is cut off lets no connection come up; another box serves in time."""
+    async with trio.open_nursery() as nursery:
+        edge, origin = [await box.open(nursery) for box in fleet()]
+        with socket.socket() as mute, contextlib.ExitStack() as full:
+            mute.bind(("127.0.0.1", 0))
+            mute.listen(0)
+            for _ in range(4):  # more than its queue takes: no further handshake is answered
+                waiting = full.enter_context(socket.socket())
+                waiting.setblocking(False)
+                waiting.connect_ex(mute.getsockname())
+            silent = Box("s-00000002")
+            silent.port = mute.getsockname()[1]
+            async with platform(tmp_path, [edge, silent, origin]) as doorman:
+                found = [await doorman.ask(obj=f"{n:016x}", ttl=5000) for n in range(8)]
+                assert [status for status, _, _ in found] == [200] * 8
+                found = [await doorman.ask("sheet-submit", f"{n:016x}", b"signed") for n in range(8)]
+                assert [status for status, _, _ in found] == [200] * 8
+        nursery.cancel_scope.cancel()
+
+
+@with_trio
+async def test_reused_address(tmp_path: Path) -> None:
+    """A new box at a gone one's address is another box."""
+    async with trio.open_nursery() as nursery:
+        log = await Log().open(nursery)
+        edge, origin = [await box.open(nursery) for box in fleet()]
+        new = Box("s-00000005")
+        new.port = edge.port
+        async with platform(tmp_path, [edge, origin], log) as doorman:
+            assert (await doorman.ask())[0] == 200
+            await log.tell(2, 2, record(edge, 2) + record(new, 0))
+            await log.cut()
+            assert log.since == [1, 2]
+            assert (await doorman.ask())[0] == 200
+            assert len(edge.asked) == 2 and not origin.asked
+        nursery.cancel_scope.cancel()
+
+
 @with_trio
 async def test_drain_and_log(tmp_path: Path) -> None:
     """A drained box gets nothing new and is no source; the log is asked from the last number held."""
