Remember the ids of submits that may have run; end the program of a test that fails early

Seen: a request that came twice on one connection (mutated requests by the thousand against the program, no crash) was answered 200 twice: clients.py answer knew an X-Txn only while it was in hand. Seen: a test that failed while it waited for the start left its program running (stand_ins.py program).

--- a/brackenlane/limits.py
+++ b/brackenlane/limits.py
@@ -13,6 +13,7 @@
     head: int = 16_384  # request line and headers
     upload: int = 48_000  # body of a write
     clients: int = 400  # connections at once; of the 1,024 descriptors the boxes need the rest
+    submits: int = 20_000  # ids of writes remembered, so that none runs twice
     client_idle: float = 20.0  # without an open request
     request_time: float = 10.0  # from a request's first byte to its last
     linger: float = 0.5  # reads on after an error, so that the answer is not lost to a reset
--- a/brackenlane/net/clients.py
+++ b/brackenlane/net/clients.py
@@ -6,6 +6,7 @@
 import math
 import re
 import time
+from collections import OrderedDict
 from dataclasses import dataclass, replace
 from enum import Enum
 from http import HTTPStatus
@@ -109,6 +110,7 @@
         self._core, self._limits, self._claims = core, limits, claims
         self._classes = {c.name: c for c in core.settings.classes}
         self._txns: set[str] = set()  # in hand
+        self._submits: OrderedDict[str, None] = OrderedDict()  # of writes that may have run, oldest first
         self._idle: dict[Client, None] = {}  # connections without an open request, longest idle first
         self._count = 0
         self.closing = False  # answers end their connections
@@ -167,16 +169,22 @@
             return (HTTPStatus.OK, {}, b"healthy\n") if ready else (
                 HTTPStatus.SERVICE_UNAVAILABLE, {"Retry-After": "1"}, b"not ready\n")
         ask = read_ask(reading, self._classes, self._limits, self._core.new_id(), time.time())
-        if ask.wire_id in self._txns:
-            raise BadRequest(HTTPStatus.CONFLICT, "this X-Txn is in hand already")
+        if ask.wire_id in self._txns or ask.wire_id in self._submits:
+            raise BadRequest(HTTPStatus.CONFLICT, "this X-Txn has been taken already")
+        unsafe = self._classes[ask.arrival.cls].effect is Effect.UNSAFE
+        refused = False
         self._txns.add(ask.wire_id)
         try:
-            if self._claims and self._classes[ask.arrival.cls].effect is Effect.UNSAFE:
-                return word_answer(await self._claimed(ask, self._claims))
-            return word_answer(await self._core.ask(ask))
+            answer = await (self._claimed(ask, self._claims) if unsafe and self._claims
+                            else self._core.ask(ask))
+            refused = answer.ending is Ending.REFUSED
+            return word_answer(answer)
         finally:
             self._txns.discard(ask.wire_id)
-
+            if unsafe and not refused:  # guards against a submit that a client or proxy sends twice
+                self._submits[ask.wire_id] = None
+                if len(self._submits) > self._limits.submits:
+                    self._submits.popitem(last=False)
 
     async def _claimed(self, ask: Ask, claims: Claims) -> Answer:
         """The answer to a submit that other doormans could be given too: claimed before it runs."""
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -242,16 +242,17 @@
                 up.set()
         up.set()
 
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(listen)
-        await up.wait()
-        assert b"serves on" in said, said.decode()
-        try:
+    try:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(listen)
+            await up.wait()
+            assert b"serves on" in said, said.decode()
             yield Program(process, port, said)
-        finally:
             process.kill()
-            with trio.CancelScope(shield=True):
-                await process.wait()
+    finally:  # also of a test that fails while it waits for the start
+        process.kill()
+        with trio.CancelScope(shield=True):
+            await process.wait()
     assert b"Traceback" not in said, said.decode()
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -95,6 +95,10 @@
             assert found == (504 if not word else status)
             assert len(asked) <= runs and asked[0].body == b"signed" * 8000
             assert "retry-after" in headers or found != 503
+            # The same id again is another try of what was refused, and else a repeat that must not run.
+            again = await doorman.ask("sheet-submit", body=b"signed" * 8000, ttl=700, txn=asked[0].id)
+            assert again[0] == (503 if found == 503 else 409)
+            assert found == 503 or len(boxes[0].asked + boxes[1].asked) == len(asked)
         nursery.cancel_scope.cancel()
 
 
