Read the configuration again on SIGHUP and move to the new change log address

Checked: no handler anywhere (__main__.serve and service.serve_until_told knew SIGTERM and SIGINT only), and ChangeLog.run held one address for good. Now SIGHUP is ignored from the first line of main until its handler stands; _reload reads the file and ChangeLog.move cancels the connection under way and goes on from the last whole event. 'known' in the new file is left aside: the numbers go on, and the log tells all from the last one. A bad file leaves the old one in force with a log line; settings that differ are named as for the next start.

--- a/brackenlane/__main__.py
+++ b/brackenlane/__main__.py
@@ -4,8 +4,10 @@
 
 import logging
 import os
+import signal
 import sys
 import time
+from collections.abc import AsyncIterator
 
 import trio
 
@@ -18,6 +20,8 @@
 from brackenlane.net.listing import ListError, read_known
 from brackenlane.service import serve_until_told
 
+log = logging.getLogger(__name__)
+
 USAGE = """usage: python -m brackenlane                          the platform's doorman, by its environment
        python -m brackenlane appliance FILE           a small site's doorman, by the operator's file
        python -m brackenlane console FILE [COMMAND]   the operator's terminal to it"""
@@ -25,21 +29,40 @@
 
 async def serve(config: Config, limits: Limits) -> None:
     """Run the platform's front until SIGTERM and the last answer after it."""
-    async with trio.open_nursery() as nursery:
-        core = Core(config.settings, config.seed, limits, lambda attempt: depots.place(attempt))
-        depots = Depots(core.fleet, limits, config.settings.connect_timeout, core.report, nursery)
-        changes = ChangeLog(config.changelog, config.site, limits, depots, core.tell)
-        nursery.start_soon(core.run)
-        await changes.start(read_known(config.known, config.site, time.time()),
-                            int(config.known.get("seq", 0)))
-        nursery.start_soon(changes.run)
-        await serve_until_told(Door(core, limits), config.listen, config.name, limits, nursery)
-        nursery.cancel_scope.cancel()
+    with trio.open_signal_receiver(signal.SIGHUP) as hangups:
+        async with trio.open_nursery() as nursery:
+            core = Core(config.settings, config.seed, limits, lambda attempt: depots.place(attempt))
+            depots = Depots(core.fleet, limits, config.settings.connect_timeout, core.report, nursery)
+            changes = ChangeLog(config.changelog, config.site, limits, depots, core.tell)
+            nursery.start_soon(core.run)
+            await changes.start(read_known(config.known, config.site, time.time()),
+                                int(config.known.get("seq", 0)))
+            nursery.start_soon(changes.run)
+            nursery.start_soon(_reload, hangups, config, changes)
+            await serve_until_told(Door(core, limits), config.listen, config.name, limits, nursery)
+            nursery.cancel_scope.cancel()
+
+
+async def _reload(hangups: AsyncIterator[int], config: Config, changes: ChangeLog) -> None:
+    """On SIGHUP read the file again and move to the change log's address; a bad file changes nothing."""
+    async for _ in hangups:
+        try:
+            new = load(os.environ.get("GW_CONFIG"))
+        except ConfigError as fault:
+            log.warning("SIGHUP: the old configuration stays in force: %s", " ".join(str(fault).split()))
+            continue
+        fixed = ("name", "listen", "settings", "sockets")
+        if told := [name for name in fixed if getattr(new, name) != getattr(config, name)]:
+            log.warning("SIGHUP: taken in at the next start only: %s", ", ".join(told))
+        changes.move(new.changelog)
+        log.info("SIGHUP: the change log is at %s:%d", *(new.changelog or ("no address", 0)))
 
 
 def main(words: list[str]) -> int:
     """Run what the command line names; 2 for a configuration that can't be used."""
     logging.basicConfig(level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
+    # Guards against a SIGHUP that ends the program: before its handler stands, or where none is.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     status = 0
     try:
         match words:
--- a/brackenlane/net/changelog.py
+++ b/brackenlane/net/changelog.py
@@ -24,8 +24,15 @@
                  tell: Callable[[Event], Awaitable[None]]) -> None:
         self._endpoint, self._site, self._limits = endpoint, site, limits
         self._depots, self._tell = depots, tell
+        self._round = trio.CancelScope()  # of the connection to the address in force
         self.last = 0
 
+    def move(self, endpoint: Endpoint | None) -> None:
+        """Go on at another address, at once, from the last event held."""
+        if endpoint != self._endpoint:
+            self._endpoint = endpoint
+            self._round.cancel()
+
     async def start(self, known: Iterable[Change], last: int) -> None:
         """Take in what the configuration already knows."""
         for change in known:
@@ -34,12 +41,15 @@
 
     async def run(self) -> None:
         """Follow for good; what was missed while away comes first on the next connection."""
-        while self._endpoint:
-            try:
-                await self._follow(self._endpoint)
-            except (OSError, trio.BrokenResourceError, ListError, trio.TooSlowError) as fault:
-                log.warning("change log: %s", fault or type(fault).__name__)
-            await trio.sleep(self._limits.log_retry)
+        while True:
+            with trio.CancelScope() as self._round:
+                if self._endpoint is None:
+                    await trio.sleep_forever()
+                try:
+                    await self._follow(self._endpoint)
+                except (OSError, trio.BrokenResourceError, ListError, trio.TooSlowError) as fault:
+                    log.warning("change log: %s", fault or type(fault).__name__)
+                await trio.sleep(self._limits.log_retry)
 
     async def _follow(self, endpoint: Endpoint) -> None:
         with trio.fail_after(self._limits.log_silence):
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -193,6 +193,15 @@
     process: trio.Process
     port: int
     said: bytearray
+    news: trio.Event = field(default_factory=trio.Event)
+    ended: bool = False
+
+    async def says(self, text: bytes) -> None:
+        """Wait until its log holds a text."""
+        while text not in self.said:
+            assert not self.ended, self.said.decode()
+            self.news = trio.Event()
+            await self.news.wait()
 
     async def ask(self, cls: str = "video-parts", obj: str = "7f3a9c21e0b4d655", body: bytes = b"",
                   ttl: int = 2000, txn: str = "", **headers: str) -> tuple[int, dict[str, str], bytes]:
@@ -232,22 +241,22 @@
         [sys.executable, "-m", "brackenlane", *words], cwd=ROOT, env={**os.environ, **env},
         stderr=subprocess.PIPE)
     said = bytearray()
-    up = trio.Event()
+    running = Program(process, port, said)
 
     async def listen() -> None:
         assert process.stderr
         while got := await process.stderr.receive_some(4096):
             said.extend(got)
-            if b"serves on" in said:
-                up.set()
-        up.set()
+            running.news.set()
+        running.ended = True
+        running.news.set()
 
     try:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(listen)
-            await up.wait()
-            assert b"serves on" in said, said.decode()
-            yield Program(process, port, said)
+            await running.says(b"serves on")
+            yield running
+            nursery.cancel_scope.cancel()
             process.kill()
     finally:  # also of a test that fails while it waits for the start
         process.kill()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -222,6 +222,34 @@
         nursery.cancel_scope.cancel()
 
 
+@with_trio
+async def test_sighup(tmp_path: Path) -> None:
+    """SIGHUP moves to the new log address, numbers going on; a bad file leaves the old one in force."""
+    async with trio.open_nursery() as nursery:
+        log, other = await Log().open(nursery), await Log().open(nursery)
+        edge, origin = [await box.open(nursery) for box in fleet()]
+        path = tmp_path / "config.json"
+        async with platform(tmp_path, [edge, origin], log) as doorman:
+            await log.tell(2, 2, record(edge, 0))
+            await log.cut()
+            good = path.read_bytes()
+            path.write_bytes(good[:-1])
+            doorman.process.send_signal(signal.SIGHUP)
+            await doorman.says(b"the old configuration stays in force")
+            edge.answer = lambda asked: None  # a request stays open meanwhile; its answer fails if it is lost
+            async with trio.open_nursery() as client:
+                client.start_soon(doorman.ask)
+                await edge.until(lambda: bool(edge.asked))
+                path.write_bytes(good.replace(str(log.port).encode(), str(other.port).encode()))
+                doorman.process.send_signal(signal.SIGHUP)
+                await other.tell(3, 2, record(edge, 1))
+                await other.cut()
+            assert other.since == [2, 3] and log.since == [1, 2]
+            assert (await doorman.ask())[0] == 200
+            assert len(edge.asked) == 1 and len(origin.asked) > 0
+        nursery.cancel_scope.cancel()
+
+
 @with_trio
 async def test_known_purge(tmp_path: Path) -> None:
     """A purge that is known from the start bounds the age of a copy, by object and by group."""
