Refuse Content-Length with Transfer-Encoding; check all fields first; close silent clients

Cause: h11 follows Transfer-Encoding and ignores Content-Length, and Client._read checked the length alone. Silent connections stood for 20 s, half requests for 10 s, where 3 s are owed: now 2.5 s from connecting; when descriptors run out, who never asked gives way first, then who is idle. The tag that goes into a box's line is ASCII only; a body where none belongs is refused.

--- a/brackenlane/limits.py
+++ b/brackenlane/limits.py
@@ -14,9 +14,11 @@
     upload: int = 48_000  # body of a write
     clients: int = 400  # connections at once; of the 1,024 descriptors the boxes need the rest
     submits: int = 20_000  # ids of writes remembered, so that none runs twice
-    client_idle: float = 20.0  # without an open request
-    request_time: float = 10.0  # from a request's first byte to its last
+    first_request: float = 2.5  # from the connection to the end of its first request
+    client_idle: float = 5.0  # without an open request; the platform's clients go after 4 s
+    request_time: float = 2.5  # from a later request's first byte to its last; to take an answer
     linger: float = 0.5  # reads on after an error, so that the answer is not lost to a reset
+    linger_room: int = 1_048_576  # and no more than so much
     longest_wait: float = 60.0  # the most that a client may ask us to wait
     answer_margin: float = 0.005  # of a client's time, kept for the way back
     answer_slack: float = 0.05  # past a client's time, within which an answer still counts
--- a/brackenlane/net/clients.py
+++ b/brackenlane/net/clients.py
@@ -21,9 +21,10 @@
 
 log = logging.getLogger(__name__)
 
-TARGET = re.compile(r"/api/v2/([^/?#]{1,64})/([^/?#,\s=]{1,64})/n-(\d{1,9})")
+TARGET = re.compile(r"/api/v2/([^/?#]{1,64})/([0-9a-f]{16})/n-(0|[1-9]\d{0,8})", re.ASCII)
 TXN = re.compile(r"[0-9a-fA-F]{16}")
-TAG = re.compile(r'(?:W/)?"([\w.:-]{1,64})"')
+TAG = re.compile(r'(?:W/)?"([\w.:-]{1,64})"', re.ASCII)  # goes into a line to a box
+OURS = {b"x-txn", b"x-ttl-ms", b"x-shard", b"x-second-try", b"if-none-match"}
 HEALTHY = "/-/healthy"
 Headers = dict[str, str]
 
@@ -56,21 +57,47 @@
     method = "PUT" if cls.uncached else "GET"
     if reading.method != method:
         raise BadRequest(HTTPStatus.METHOD_NOT_ALLOWED, f"this class takes {method}", {"Allow": method})
-    txn, ttl = reading.headers.get("x-txn", ""), reading.headers.get("x-ttl-ms", "")
-    shard = reading.headers.get("x-shard", "")
+    # Guards the boxes, which close on what they can't read, whatever else is open on that connection.
+    if bool(reading.body) is not cls.uncached:
+        raise BadRequest(HTTPStatus.BAD_REQUEST, "a write has a body, a read has none")
+    txn, again = reading.headers.get("x-txn", ""), reading.headers.get("x-second-try")
     if not TXN.fullmatch(txn):
         raise BadRequest(HTTPStatus.BAD_REQUEST, "X-Txn must be 16 hexadecimal digits")
-    if not (ttl.isascii() and ttl.isdigit() and 0 < len(ttl) < 10):
-        raise BadRequest(HTTPStatus.BAD_REQUEST, "X-Ttl-Ms must be a number of milliseconds")
-    if shard and not (shard.isascii() and shard.isdigit() and len(shard) < 4 and int(shard) < 256):
-        raise BadRequest(HTTPStatus.BAD_REQUEST, "X-Shard must be 0 to 255")
-    left = min(int(ttl) / 1000, limits.longest_wait) - limits.answer_margin
+    ttl = _number(reading, "x-ttl-ms", 1, int(limits.longest_wait * 1000))
+    shard = _number(reading, "x-shard", 0, 255)
+    if again not in (None, "1"):
+        raise BadRequest(HTTPStatus.BAD_REQUEST, "X-Second-Try must be 1 or absent")
+    left = ttl / 1000 - limits.answer_margin
     have = TAG.fullmatch(reading.headers.get("if-none-match", ""))
-    arrival = Arrival(name, max(left, 0.001), cls.name, found[2], int(found[3]), int(shard or -1),
-                      is_write=cls.uncached, is_retry=reading.headers.get("x-second-try") == "1")
+    arrival = Arrival(name, max(left, 0.001), cls.name, found[2], int(found[3]), shard,
+                      is_write=cls.uncached, is_retry=again == "1")
     return Ask(arrival, now + max(left, 0.001), txn, have[1] if have else "", reading.body)
 
 
+def _number(reading: Reading, name: str, low: int, high: int) -> int:
+    """A header that is a whole number within its range."""
+    text = reading.headers.get(name, "")
+    if not (text.isascii() and text.isdigit() and len(text) < 10 and low <= int(text) <= high):
+        raise BadRequest(HTTPStatus.BAD_REQUEST, f"{name.title()} must be a number, {low} to {high}")
+    return int(text)
+
+
+def check_head(head: h11.Request, limits: Limits) -> None:
+    """What must hold before any body is read."""
+    # h11 bounds only a head that comes in pieces.
+    if sum(len(name) + len(value) for name, value in head.headers) + len(head.target) > limits.head:
+        raise BadRequest(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the head is too large")
+    names = [name for name, _ in head.headers]
+    told = dict(head.headers)
+    # Guards against a request hidden in the body of another: h11 goes by the one and ignores the other.
+    if b"content-length" in told and b"transfer-encoding" in told:
+        raise BadRequest(HTTPStatus.BAD_REQUEST, "Content-Length and Transfer-Encoding: one of them at most")
+    if any(names.count(name) > 1 for name in OURS):
+        raise BadRequest(HTTPStatus.BAD_REQUEST, "a header stands twice")
+    if int(told.get(b"content-length", b"0")) > limits.upload:
+        raise BadRequest(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large")
+
+
 def word_answer(answer: Answer) -> tuple[HTTPStatus, Headers, bytes]:
     """Status, headers and body of a final answer."""
     tag = {"ETag": f'"{answer.tag}"'} if answer.tag else {}
@@ -103,6 +130,15 @@
         """Give back the claim of a submit that provably never ran."""
 
 
+class Waits(Enum):
+    """What a client's connection is waiting for."""
+
+    FIRST = "its first request"
+    NEXT = "its next request"
+    REST = "the rest of a request"
+    NOT = "nothing of the client's"
+
+
 class Door:
     """All client connections of one doorman."""
 
@@ -111,7 +147,10 @@
         self._classes = {c.name: c for c in core.settings.classes}
         self._txns: set[str] = set()  # in hand
         self._submits: OrderedDict[str, None] = OrderedDict()  # of writes that may have run, oldest first
-        self._idle: dict[Client, None] = {}  # connections without an open request, longest idle first
+        # Connections without an open request, the longest so first: none yet, none now, part of one
+        self._silent: dict[Client, None] = {}
+        self._idle: dict[Client, None] = {}
+        self._slow: dict[Client, None] = {}
         self._count = 0
         self.closing = False  # answers end their connections
         self._empty = trio.Event()  # set when the last connection ends
@@ -119,16 +158,17 @@
     async def serve(self, stream: trio.SocketStream) -> None:
         """One client connection."""
         if self._count >= self._limits.clients:
-            # Guards our descriptors: a connection with no open request gives way, else the new one does.
-            if not self._idle:
+            # Guards our descriptors: who never asked gives way, then who is idle, then who is slow to ask.
+            spare = next((there for there in (self._silent, self._idle, self._slow) if there), None)
+            if spare is None:
                 await trio.aclose_forcefully(stream)
                 return
-            next(iter(self._idle)).hang_up()
+            next(iter(spare)).hang_up()
         client = Client(self, stream, self._limits)
         self._count += 1
         try:
             await client.run()
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
+        except (trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError):
             pass
         except Exception:  # one client must not end the others
             log.exception("a client's connection failed")
@@ -136,14 +176,14 @@
             self._count -= 1
             if not self._count:
                 self._empty.set()
-            self._idle.pop(client, None)
+            self.note(client, Waits.NOT)
             with trio.move_on_after(self._limits.linger, shield=True):
                 await stream.aclose()
 
     def leave(self) -> None:
         """Close what is idle, and every other connection after its answer."""
         self.closing = True
-        for client in list(self._idle):
+        for client in [*self._silent, *self._idle]:
             client.hang_up()
 
     async def emptied(self) -> None:
@@ -152,13 +192,19 @@
             self._empty = trio.Event()
             await self._empty.wait()
 
-    def set_idle(self, client: Client, idle: bool) -> None:
-        """Note whether a connection has an open request."""
-        self._idle.pop(client, None)
-        if idle:
-            self._idle[client] = None
-            if self.closing:
-                client.hang_up()
+    def note(self, client: Client, waits: Waits) -> None:
+        """Note whether a connection waits for a request."""
+        for there in (self._silent, self._idle, self._slow):
+            there.pop(client, None)
+        match waits:
+            case Waits.FIRST:
+                self._silent[client] = None
+            case Waits.NEXT:
+                self._idle[client] = None
+            case Waits.REST:
+                self._slow[client] = None
+        if self.closing and waits in (Waits.FIRST, Waits.NEXT):
+            client.hang_up()
 
     async def answer(self, reading: Reading) -> tuple[HTTPStatus, Headers, bytes]:
         """The answer to one request."""
@@ -208,6 +254,7 @@
         self._door, self._stream, self._limits = door, stream, limits
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.head)
         self._waiting = trio.CancelScope()
+        self._waits = Waits.FIRST
 
     def hang_up(self) -> None:
         """End the connection, which has no open request."""
@@ -240,10 +287,11 @@
         """The next request, whole; None if there is none."""
         head: h11.Request | None = None
         body = bytearray()
-        self._waiting = trio.CancelScope(deadline=trio.current_time() + self._limits.client_idle)
-        self._door.set_idle(self, True)
-        if self._http.trailing_data[0]:
-            self._door.set_idle(self, False)
+        # Guards our descriptors against clients that say nothing, or say it slowly.
+        first = self._waits is Waits.FIRST
+        self._waiting = trio.CancelScope(deadline=trio.current_time() + (
+            self._limits.first_request if first else self._limits.client_idle))
+        self._door.note(self, self._waits if not self._http.trailing_data[0] else Waits.REST)
         with self._waiting:
             while True:
                 event = self._http.next_event()
@@ -252,25 +300,22 @@
                         go_on = h11.InformationalResponse(status_code=100, headers=[], reason=b"Continue")
                         await self._stream.send_all(self._http.send(go_on) or b"")
                     data = await self._stream.receive_some(65536)
-                    if data and head is None:
-                        self._door.set_idle(self, False)
-                        self._waiting.deadline = trio.current_time() + self._limits.request_time
+                    if self._waits is not Waits.REST:
+                        self._waits = Waits.REST
+                        self._door.note(self, Waits.REST)
+                        if not first:
+                            self._waiting.deadline = trio.current_time() + self._limits.request_time
                     self._http.receive_data(data)
                 elif isinstance(event, h11.Request):
                     head = event
-                    # h11 bounds only a head that comes in pieces.
-                    size = sum(len(name) + len(value) for name, value in head.headers) + len(head.target)
-                    if size > self._limits.head:
-                        raise BadRequest(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the head is too large")
-                    told = dict(event.headers).get(b"content-length", b"0")
-                    if int(told) > self._limits.upload:
-                        raise BadRequest(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large")
+                    check_head(head, self._limits)
                 elif isinstance(event, h11.Data):
                     body += event.data
                     if len(body) > self._limits.upload:
                         raise BadRequest(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large")
                 elif isinstance(event, h11.EndOfMessage) and head:
-                    self._door.set_idle(self, False)
+                    self._waits = Waits.NEXT
+                    self._door.note(self, Waits.NOT)
                     return Reading(head.method.decode(), head.target.decode(),
                                    {k.decode(): v.decode("latin-1") for k, v in head.headers}, bytes(body))
                 else:
@@ -295,16 +340,16 @@
     async def _watch(self, scope: trio.CancelScope) -> None:
         """Cancel the answer once the client leaves; bytes of a next request are kept, up to a bound."""
         room = self._limits.head
-        while room > 0:
+        while True:
             try:
                 data = await self._stream.receive_some(room)
             except trio.BrokenResourceError:
                 data = b""
-            if not data:
+            room -= len(data)
+            if not data or room <= 0:  # left, or talks on without waiting for its answer
                 scope.cancel()
                 return
             self._http.receive_data(data)
-            room -= len(data)
 
     async def _send(self, status: HTTPStatus, headers: Headers, body: bytes) -> None:
         """One whole answer; cut short, its length shows it, and the connection ends."""
@@ -324,7 +369,8 @@
 
     async def _drain(self) -> None:
         """Guards an error's answer from the reset that follows unread bytes."""
+        room = self._limits.linger_room
         with trio.move_on_after(self._limits.linger):
             await self._stream.send_eof()
-            while await self._stream.receive_some(65536):
-                pass
+            while room > 0 and (data := await self._stream.receive_some(65536)):
+                room -= len(data)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -102,17 +102,25 @@
         nursery.cancel_scope.cancel()
 
 
+GOOD = {"X-Txn": "1" * 16, "X-Ttl-Ms": "900", "X-Shard": "17"}
+READ, WRITE = "/api/v2/video-parts/7f3a9c21e0b4d655/n-0", "/api/v2/sheet-submit/7f3a9c21e0b4d655/n-0"
+
+
 @pytest.mark.parametrize(("method", "path", "headers", "body", "status"), [
-    ("GET", "/api/v2/video-parts/a1/n-0", {"X-Txn": "12", "X-Ttl-Ms": "900"}, b"", 400),
-    ("GET", "/api/v2/video-parts/a1/n-0", {"X-Txn": "1" * 16}, b"", 400),
-    ("GET", "/api/v2/video-parts/a1/n-0", {"X-Txn": "1" * 16, "X-Ttl-Ms": "-5"}, b"", 400),
-    ("GET", "/api/v2/video-parts/a1/n-0", {"X-Txn": "1" * 16, "X-Ttl-Ms": "9", "X-Shard": "256"}, b"", 400),
-    ("PUT", "/api/v2/video-parts/a1/n-0", {"X-Txn": "1" * 16, "X-Ttl-Ms": "900"}, b"x", 405),
-    ("GET", "/api/v2/sheet-submit/a1/n-0", {"X-Txn": "1" * 16, "X-Ttl-Ms": "900"}, b"", 405),
+    *[("GET", READ, {**GOOD, name: value}, b"", 400) for name, value in [
+        ("X-Txn", "12"), ("X-Ttl-Ms", ""), ("X-Ttl-Ms", "-5"), ("X-Ttl-Ms", "0"), ("X-Ttl-Ms", "9" * 9),
+        ("X-Ttl-Ms", "1e3"), ("X-Shard", "256"), ("X-Shard", ""), ("X-Second-Try", "maybe")]],
+    ("GET", READ, {**GOOD, "x-ttl-ms": "901"}, b"", 400),
+    ("GET", READ, GOOD, b"x", 400),
+    ("PUT", WRITE, GOOD, b"", 400),
+    ("PUT", READ, GOOD, b"x", 405),
+    ("GET", WRITE, GOOD, b"", 405),
     ("DELETE", "/-/healthy", {}, b"", 405),
-    ("PUT", "/api/v2/sheet-submit/a1/n-0", {"X-Txn": "1" * 16, "X-Ttl-Ms": "900"}, bytes(48_001), 413),
-    ("GET", "/api/v2/no-such/a1/n-0", {"X-Txn": "1" * 16, "X-Ttl-Ms": "900"}, b"", 404),
-    ("GET", "/api/v2/video-parts/a1/n-0", {"X-Long": "x" * 20_000}, b"", 431),
+    ("PUT", WRITE, GOOD, bytes(48_001), 413),
+    *[("GET", path, GOOD, b"", 404) for path in [
+        READ.replace("video", "no-such"), READ.replace("7f", "7F"), READ.replace("7f", "f"),
+        READ.replace("n-0", "n--1"), READ.replace("n-0", "n-07"), READ + "?x=1"]],
+    ("GET", READ, {"X-Long": "x" * 20_000}, b"", 431),
 ])
 @with_trio
 async def test_bad_requests(tmp_path: Path, method: str, path: str, headers: dict[str, str], body: bytes,
@@ -129,6 +137,56 @@
         nursery.cancel_scope.cancel()
 
 
+SMUGGLED = (f"PUT {WRITE} HTTP/1.1\r\nHost: a\r\nX-Txn: {'1' * 16}\r\nX-Ttl-Ms: 900\r\nX-Shard: 1\r\n"
+            "%s\r\n\r\n" + f"GET {READ} HTTP/1.1\r\nHost: a\r\nX-Txn: {'2' * 16}\r\nX-Ttl-Ms: 900\r\n"
+            "X-Shard: 1\r\n\r\n")
+
+
+@pytest.mark.parametrize(("sent", "status"), [
+    (SMUGGLED % "Content-Length: 5\r\nTransfer-Encoding: chunked", b"400"),
+    (SMUGGLED % "Transfer-Encoding: chunked\r\nContent-Length: 0", b"400"),
+    (SMUGGLED % "Content-Length: 0\r\nContent-Length: 5", b"400"),
+    (SMUGGLED % "Content-Length: 63000000", b"413"),
+    (SMUGGLED % f"Content-Length: {'9' * 5000}", b"400"),
+    (SMUGGLED % "Content-Length: -5", b"400"),
+    (f"GET {READ} HTTP/1.1\r\nHost: a\r\nX-Txn: 1", b""),  # half a request
+    ("", b""),  # silence
+])
+@with_trio
+async def test_bad_clients(tmp_path: Path, sent: str, status: bytes) -> None:
+    """Each gets its error or a close within 3 s of connecting, and nothing of it reaches a box."""
+    async with trio.open_nursery() as nursery:
+        edge, origin = [await box.open(nursery) for box in fleet()]
+        async with platform(tmp_path, [edge, origin]) as doorman:
+            with trio.fail_after(3):
+                async with await trio.open_tcp_stream("127.0.0.1", doorman.port) as stream:
+                    await stream.send_all(sent.encode())
+                    found = b""
+                    while got := await stream.receive_some(65536):
+                        found += got
+            assert found.count(b"HTTP/1.1") == bool(status) and found[9:12] == status
+            assert not edge.asked and not origin.asked
+        nursery.cancel_scope.cancel()
+
+
+@with_trio
+async def test_silent_crowd(tmp_path: Path) -> None:
+    """More silent connections than descriptors, and a usual client that stays keeps its connection."""
+    async with trio.open_nursery() as nursery:
+        boxes = [await box.open(nursery) for box in fleet()]
+        async with platform(tmp_path, boxes, sockets=64) as doorman:
+            usual = await trio.open_tcp_stream("127.0.0.1", doorman.port)
+            for _ in range(2):
+                await usual.send_all(b"GET /-/healthy HTTP/1.1\r\nHost: a\r\n\r\n")
+                assert (await usual.receive_some(1000)).startswith(b"HTTP/1.1 200")
+                silent = [await trio.open_tcp_stream("127.0.0.1", doorman.port) for _ in range(60)]
+                assert (await doorman.ask())[0] == 200
+                assert await silent[0].receive_some(1) == b""
+                for stream in [*silent, *([] if _ == 0 else [usual])]:
+                    await stream.aclose()
+        nursery.cancel_scope.cancel()
+
+
 @with_trio
 async def test_client_leaves(tmp_path: Path) -> None:
     """A client that leaves takes its work back from the box."""
