Learn a cache's link width from answers of known size instead of refusing at 4 transfers

Probe 2 (every refusal logged): 85% of them found a source but no cache (Router._fits): caches with 8 to 16 in hand were held to be 4 transfers wide, since the list's weights are silent. Now the core tells the size of what came (Outcome.size_kb, in the unit of the settings' pace); a hit that took at most 1.3 times its own time shows that its cache bears the crowd it met, a longer one narrows it again; same for parents by prompt fills. Sizes so known replace guesses from waits. Cold budgets keep the assumed weight.

--- a/brackenlane/__main__.py
+++ b/brackenlane/__main__.py
@@ -31,7 +31,8 @@
     """Run the platform's front until SIGTERM and the last answer after it."""
     with trio.open_signal_receiver(signal.SIGHUP) as hangups:
         async with trio.open_nursery() as nursery:
-            core = Core(config.settings, config.seed, limits, lambda attempt: depots.place(attempt))
+            core = Core(config.settings, config.seed, limits, lambda attempt: depots.place(attempt),
+                        flow=config.flow)
             depots = Depots(core.fleet, limits, config.settings.connect_timeout, core.report, nursery)
             changes = ChangeLog(config.changelog, config.site, limits, depots, core.tell)
             nursery.start_soon(core.run)
--- a/brackenlane/config.py
+++ b/brackenlane/config.py
@@ -40,6 +40,9 @@
     changelog: Endpoint | None = None
     known: dict[str, Any] = field(default_factory=dict)
     sockets: int = 1024
+    memory_mb: float = 192.0
+    flow: float = 0.0  # bytes a second of one transfer at the most, 0: not told
+    link: float = 0.0  # of all our own transfers together
 
 
 def read_endpoint(text: object, what: str) -> Endpoint:
@@ -86,11 +89,21 @@
     if not isinstance(known, dict):
         raise ConfigError("known: an object is needed")
     log, limits = raw.get("changelog"), raw.get("limits", {})
-    sockets = limits.get("sockets", 1024) if isinstance(limits, dict) else 0
-    if not isinstance(sockets, int) or sockets < 64:
-        raise ConfigError(f"limits: sockets: {sockets!r} is no number of at least 64")
+    if not isinstance(limits, dict):
+        raise ConfigError("limits: an object is needed")
+    sockets = _read_number(limits, "sockets", 1024, 64)
     return Config(str(raw["name"]), read_endpoint(raw["listen"], "listen"), settings, site, seed,
-                  read_endpoint(log, "changelog") if log else None, known, sockets)
+                  read_endpoint(log, "changelog") if log else None, known, int(sockets),
+                  _read_number(limits, "memory_mb", 192, 1),
+                  _read_number(raw, "flow_bytes_per_s", 0), _read_number(raw, "link_bytes_per_s", 0))
+
+
+def _read_number(raw: dict[str, Any], name: str, absent: float, least: float = 0) -> float:
+    """A number of at least so much."""
+    value = raw.get(name, absent)
+    if not isinstance(value, (int, float)) or not least <= value < float("inf"):
+        raise ConfigError(f"{name}: {value!r} is no number of at least {least}")
+    return value
 
 
 def load(path: str | None) -> Config:
--- a/brackenlane/core.py
+++ b/brackenlane/core.py
@@ -104,8 +104,8 @@
 
     def __init__(self, settings: Settings, seed: int, limits: Limits, place: Place,
                  clock: Callable[[], float] = time.time,
-                 notice: Callable[[str, Verdict], None] | None = None) -> None:
-        self._notice = notice
+                 notice: Callable[[str, Verdict], None] | None = None, flow: float = 0.0) -> None:
+        self._notice, self._flow = notice, flow  # flow: bytes a second of one transfer, if told
         self.settings, self.limits, self.clock = settings, limits, clock
         self.fleet = Fleet(settings)
         self.effects = {c.name: c.effect for c in settings.classes}
@@ -259,9 +259,13 @@
             self._end(name, Answer(Ending.UNCHANGED if reply.unchanged else Ending.SERVED, reply.body,
                                    reply.tag, server=attempt.fetch.server))
         self._handle(Outcome(name, attempt.number, attempt.fetch.server, reply.verdict, reply.wait,
-                             ask.over, reply.note), now)
+                             ask.over, reply.note, size_kb=self._size(reply)), now)
         self._forget(name)
 
+    def _size(self, reply: Reply) -> float:
+        """The size of an answer in the unit of the settings' pace; 0 where it isn't seen."""
+        return len(reply.body) / self._flow * self.settings.pace_kb_per_s if self._flow else 0.0
+
     def _open(self, name: str) -> Ask | None:
         """A request that is owed its final answer."""
         ask = self._asks.get(name)
--- a/frostsail/brain.py
+++ b/frostsail/brain.py
@@ -29,6 +29,7 @@
 SUSPECT = 2.0  # blame that takes a server out
 HEADROOM = 0.7  # of the time left that an attempt may need by its cache's crowd
 UNTOLD = {Role.EDGE: 4.0, Role.PARENT: 10.0, Role.ORIGIN: 16.0}  # transfers, where weights are not told
+PROMPT = 1.3  # times its own sending time, within which a transfer met no crowd
 MARGIN = 0.85  # part of a cold budget that is used: weights and sizes are known roughly
 
 
@@ -36,7 +37,7 @@
     """What this gateway knows of one cache, parent or the origin."""
 
     def __init__(self, me: Member) -> None:
-        self.me = me
+        self.me, self.width = me, 0.0  # as listed; transfers on its link, as answers have shown
         self.hand = self.usual = 0.0  # our attempts at a cache, likely fills of a source; the mean lately
         self.blame = self.tokens = 0.0  # what speaks against it since its last successes; its cold budget
         self.down = self.gap = 0.0  # out until then, 0 = in; the last wait between trials
@@ -63,7 +64,7 @@
 
     def __init__(self, edge: Server, source: Server | None, sent: float, fill: float, held: bool) -> None:
         self.edge, self.source, self.sent, self.fill, self.held = edge, source, sent, fill, held
-        self.overdue = False
+        self.overdue, self.crowd, self.queue = False, 0.0, 0.0  # in hand at its cache and its source
 
 
 class Router:
@@ -214,7 +215,18 @@
     def _fits(self, server: Server, sharers: float, request: Request, now: float) -> bool:
         """Whether one transfer more ends in time, if the others who share have what this one usually has."""
         left = HEADROOM * (request.born + request.aim - now) / request.work
-        return server.hand + 1 + (sharers - 1) * server.usual <= left * server.me.weight
+        return self._crowd(server, sharers) + 1 <= left * max(server.width, server.me.weight)
+
+    def _crowd(self, server: Server, sharers: float) -> float:
+        """Transfers on a link, ours and those of the others who share it."""
+        return server.hand + (sharers - 1) * server.usual
+
+    def _widen(self, server: Server, crowd: float, stretch: float) -> None:
+        """Learn a link that the list keeps silent about, by how much longer than alone a transfer took."""
+        if stretch <= PROMPT:  # it met no crowd, so there is room for as many
+            server.width = max(server.width, crowd)
+        else:
+            server.width += (min(server.width, crowd / stretch) - server.width) / 8
 
     def _source(self, request: Request, now: float) -> Server | None:
         """The fill source: the capped geometric draw over the origin and this hub's parents."""
@@ -335,8 +347,11 @@
         self.attempts[(request.ask.request, number)] = Attempt(edge, source, now, fill, held)
         edge.hand += 1
         self.link.hand += fill
+        sent = self.attempts[(request.ask.request, number)]
+        sent.crowd = self._crowd(edge, self.seats)
         if source:
             source.hand += fill
+            sent.queue = self._crowd(source, self.hub_seats)
             request.tried.append(edge.me.server)
         # Overdue: past a usual wait (past the aim only where work is a guess), yet with time for another.
         usual = request.aim * min(self.mean_wait + 4 * self.wait_dev, 1 if request.ask.size_kb else math.inf)
@@ -409,8 +424,16 @@
                     timely = request and event.wait < HEADROOM * request.aim
                     if timely and 2 * (source.hand + attempt.fill) > source.window:
                         source.window += attempt.fill * (1 if source.cut < 0 else 1 / source.window)
+            alone = event.size_kb / self.s.pace_kb_per_s if self.s.pace_kb_per_s else 0.0
+            if alone > 8 * self.s.tick and not self.s.weights_told:
+                if event.note is Note.HIT and edge.me.role is Role.EDGE:
+                    crowd = min(attempt.crowd, self._crowd(edge, self.seats) + 1)
+                    self._widen(edge, crowd, event.wait / alone)
+                elif filled and source and source.me.role is Role.PARENT and event.wait <= PROMPT * alone:
+                    self._widen(source, min(attempt.queue, self._crowd(source, self.hub_seats)), 1.0)
             if request and not request.ask.size_kb:  # not told: the shortest wait seen tells most
-                self.sizes[request.ask.copy] = min(event.wait, self.sizes.get(request.ask.copy, math.inf))
+                self.sizes[request.ask.copy] = max(alone, self.s.tick) if alone else min(
+                    event.wait, self.sizes.get(request.ask.copy, math.inf))
         elif verdict in (Verdict.UNREACHABLE, Verdict.BROKEN):
             self._accuse(edge, 2 * SUSPECT, now)
         elif verdict is Verdict.TIMEOUT and not attempt.overdue:
--- a/frostsail/interface.py
+++ b/frostsail/interface.py
@@ -257,6 +257,7 @@
     note: Note = Note.UNTOLD
     first_byte: float = 0.0
     report: tuple[tuple[str, float], ...] = ()
+    size_kb: float = 0.0  # of what came, where it is seen; the wire of the simulator does not show it
 
 
 @dataclass(slots=True, frozen=True)
