Give up connections that stay open and say nothing more; a break blames lightly

Cause 1: after an answer that never comes or stops short the connection stays open and mute, and Link.takes went on choosing it: every later request there timed out (Link._read waited without limit while requests were open). Now a connection with a request open and no byte for half the shortest aim is asked (PING, under an id that no request bears), and given up if nothing comes within a connect timeout or that aim; what was open on it ends as broken: reads go elsewhere, a submit fails, as it may have run. Where boxes may not be probed half the longest deadline of silence counts. Cause 2: _judge took a cache out for 0.4 s and more for every broken connection (weight 4 against 2). Now a break counts 1, once for all that was open; the next connect tells whether the cache lives. Attempts after a break cost a quarter of the budget for retries: no crowd breaks connections. Ruled out: boxes gone (no connect refused), attempts lost in the books.

--- a/brackenlane/__main__.py
+++ b/brackenlane/__main__.py
@@ -33,7 +33,7 @@
         async with trio.open_nursery() as nursery:
             core = Core(config.settings, config.seed, limits, lambda attempt: depots.place(attempt),
                         flow=config.flow)
-            depots = Depots(core.fleet, limits, config.settings.connect_timeout, core.report, nursery)
+            depots = Depots(core.fleet, limits, config.settings, core.report, nursery)
             changes = ChangeLog(config.changelog, config.site, limits, depots, core.tell)
             nursery.start_soon(core.run)
             await changes.start(read_known(config.known, config.site, time.time()),
@@ -69,11 +69,12 @@
         match words:
             case []:
                 config = load(os.environ.get("GW_CONFIG"))
-                trio.run(serve, config, Limits().within(config.sockets))
+                trio.run(serve, config, Limits().within(config.sockets).suited(config.settings))
             case ["appliance", path]:
                 from brackenlane import appliance  # the platform's doorman needs neither DNS nor Redis
 
-                trio.run(appliance.serve, appliance.load(path), Limits())
+                site = appliance.load(path)
+                trio.run(appliance.serve, site, Limits().suited(site.settings))
             case ["console", path, *command]:
                 from brackenlane import appliance, console
 
--- a/brackenlane/appliance.py
+++ b/brackenlane/appliance.py
@@ -102,7 +102,7 @@
     async with trio.open_nursery() as nursery:
         core = Core(config.settings, time.time_ns(), limits, lambda attempt: depots.place(attempt),
                     notice=notice)
-        depots = Depots(core.fleet, limits, config.settings.connect_timeout, core.report, nursery)
+        depots = Depots(core.fleet, limits, config.settings, core.report, nursery)
 
         def follow_name(box: Box) -> None:
             """A box given by host name gets an actor that looks it up."""
--- a/brackenlane/limits.py
+++ b/brackenlane/limits.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass, replace
 
+from frostsail.interface import Settings
+
 
 @dataclass(frozen=True, slots=True)
 class Limits:
@@ -32,6 +34,9 @@
     given_up: int = 512  # ids remembered per connection, whose late answers are ignored
     write_stall: float = 1.0  # a connection that takes no byte for so long is closed
     keepalive: float = 24.0  # own idle connections are closed before the box does it (30 s)
+    quiet: float = 0.1  # with a request open and no byte for so long, a connection is asked whether it lives
+    pulse: float = 0.25  # for its answer to that; then the connection is given up
+    mute: float = 3.0  # the same where boxes may not be probed: with a request open and no byte for so long
 
     # Mailboxes
     core_mail: int = 4_096
@@ -76,3 +81,10 @@
         """With no more connections than so many descriptors allow; clients use a third of them at most."""
         return replace(self, clients=min(self.clients, sockets * 2 // 5),
                        links=min(self.links, max(1, sockets // 128)))
+
+    def suited(self, settings: Settings) -> Limits:
+        """With the times that follow from what the classes' clients want."""
+        aim = min(c.aim for c in settings.classes)
+        return replace(self, quiet=aim / 2, pulse=min(aim, settings.connect_timeout),
+                       mute=max(c.give_up for c in settings.classes) / 2,
+                       last_answers=max(c.give_up for c in settings.classes) + 0.5)
--- a/brackenlane/net/boxwire.py
+++ b/brackenlane/net/boxwire.py
@@ -77,6 +77,11 @@
     return b"DROP %b\r\n" % wire_id.encode()
 
 
+def encode_ping() -> bytes:
+    """Asks whether the connection lives; the answer comes under an id that no request bears."""
+    return b"PING alive\r\n"
+
+
 class Parser:
     """Answers out of bytes as they come."""
 
--- a/brackenlane/net/depots.py
+++ b/brackenlane/net/depots.py
@@ -15,7 +15,7 @@
 from brackenlane.fleet import Fleet
 from brackenlane.limits import Limits
 from brackenlane.net import boxwire
-from frostsail.interface import Verdict
+from frostsail.interface import Settings, Verdict
 
 log = logging.getLogger(__name__)
 
@@ -43,8 +43,11 @@
 class Link:
     """One connection to a box: answers arrive in any order."""
 
-    def __init__(self, stream: trio.SocketStream, fleet: Fleet, limits: Limits) -> None:
-        self._stream, self._fleet, self._limits = stream, fleet, limits
+    def __init__(self, stream: trio.SocketStream, fleet: Fleet, limits: Limits, may_probe: bool) -> None:
+        self._stream, self._fleet, self._limits, self._may_probe = stream, fleet, limits, may_probe
+        self._patience = trio.CancelScope()  # of the wait for bytes
+        self._heard = trio.current_time()  # when bytes came last, or the first of what is open was written
+        self._asked = False  # whether it lives
         self._waiting: dict[str, Slot] = {}
         self._given_up: OrderedDict[str, None] = OrderedDict()
         self._out: deque[Slot | bytes] = deque()
@@ -62,7 +65,7 @@
     @property
     def idle(self) -> bool:
         """Whether nothing waits for an answer here."""
-        return not self._waiting
+        return not self._waiting and not self._asked
 
     async def ask(self, attempt: Attempt) -> Reply:
         """One attempt, until its answer or its cancellation."""
@@ -136,23 +139,47 @@
             slot.settle(NEVER_SENT)
             return b""
         ask = attempt.ask
+        if not any(other.attempt.written for other in self._waiting.values()):
+            self._heard = trio.current_time()
         attempt.written, slot.sent = True, now
+        self._rearm()
         return boxwire.encode_get(ask.wire_id, ask.arrival, attempt.fetch, left,
                                   self._fleet.max_age(attempt.fetch, ask.arrival, now), ask.tag, ask.body)
 
+    def _rearm(self) -> None:
+        """How long the connection may go on saying nothing."""
+        if self._asked:
+            wait = self._limits.quiet + self._limits.pulse
+        elif self.idle:
+            wait = self._limits.keepalive
+        else:
+            wait = self._limits.quiet if self._may_probe else self._limits.mute
+        self._patience.deadline = self._heard + wait
+
     async def _read(self) -> None:
         parser = boxwire.Parser(self._limits)
         while True:
             data: bytes | bytearray | None = None
-            with trio.move_on_after(self._limits.keepalive):
+            with trio.CancelScope() as self._patience:
+                self._rearm()
                 data = await self._stream.receive_some(65536)
-            if data is None and self.idle:
-                return  # guards against a request that crosses the box's own close after its idle time
             if data is not None:
                 if not data:
                     return
+                self._heard, self._asked = trio.current_time(), False
                 for answer in parser.feed(data):
                     self._answer(answer)
+            elif trio.current_time() < self._patience.deadline:
+                continue
+            elif self.idle:
+                return  # guards against a request that crosses the box's own close after its idle time
+            elif self._asked or not self._may_probe:
+                # Guards against a connection that stays open and says nothing more, part of an answer or
+                # none: all that is open on it would wait for its deadline, and what comes next as well.
+                raise boxwire.WireError(f"nothing more comes, {len(self._waiting)} requests open")
+            else:
+                self._asked = True
+                self._push(boxwire.encode_ping(), first=True)
 
     def _answer(self, answer: boxwire.BoxAnswer) -> None:
         self._given_up.pop(answer.id, None)
@@ -184,10 +211,10 @@
     """The actor of one box."""
 
     def __init__(self, server: str, endpoint: Endpoint, fleet: Fleet, limits: Limits,
-                 connect_timeout: float, report: Report) -> None:
+                 settings: Settings, report: Report) -> None:
         self.server, self.endpoint = server, endpoint
         self._fleet, self._limits, self._report = fleet, limits, report
-        self._connect_timeout = connect_timeout
+        self._connect_timeout, self._may_probe = settings.connect_timeout, settings.may_probe
         self._links: list[Link] = []
         self._dial: Dial | None = None
         self._mail, self._inbox = trio.open_memory_channel[Attempt](limits.peer_mail)
@@ -266,7 +293,7 @@
         try:
             endpoint = self.endpoint
             with trio.move_on_after(self._connect_timeout):
-                link = Link(await connect(endpoint), self._fleet, self._limits)
+                link = Link(await connect(endpoint), self._fleet, self._limits, self._may_probe)
                 nursery.start_soon(link.run)
                 if endpoint == self.endpoint:  # else the box has moved meanwhile
                     dial.link = link
@@ -293,10 +320,10 @@
 class Depots:
     """The actors of all boxes on the list, by id: a new box may have a gone one's address."""
 
-    def __init__(self, fleet: Fleet, limits: Limits, connect_timeout: float, report: Report,
+    def __init__(self, fleet: Fleet, limits: Limits, settings: Settings, report: Report,
                  nursery: trio.Nursery) -> None:
         self._fleet, self._limits, self._report, self._nursery = fleet, limits, report, nursery
-        self._connect_timeout = connect_timeout
+        self._settings = settings
         self._endpoints: dict[str, Endpoint] = {}
         self._peers: dict[str, Peer] = {}
 
@@ -308,7 +335,7 @@
             if server not in self._endpoints:
                 return False
             peer = self._peers[server] = Peer(server, self._endpoints[server], self._fleet, self._limits,
-                                              self._connect_timeout, self._report)
+                                              self._settings, self._report)
             self._nursery.start_soon(peer.run)
         return peer.post(attempt)
 
--- a/example/toy_site.py
+++ b/example/toy_site.py
@@ -48,6 +48,10 @@
                 if word == "DROP":
                     buffer = rest
                     continue
+                if word == "PING":
+                    buffer = rest
+                    await stream.send_all(f"{wire_id} well - 0\r\n\r\n".encode())
+                    continue
                 fields, size = more[0], int(more[1])
                 if len(rest) < size + 2:
                     break
--- a/frostsail/brain.py
+++ b/frostsail/brain.py
@@ -42,7 +42,7 @@
         self.blame = self.tokens = 0.0  # what speaks against it since its last successes; its cold budget
         self.down = self.gap = 0.0  # out until then, 0 = in; the last wait between trials
         self.trial = False
-        self.seen = self.cut = self.slow = -math.inf  # last proof of life, window halved, late though it held
+        self.seen = self.cut = self.slow = self.broken = -math.inf  # alive, window halved, late, cut off
         self.stamp = self.born = me.started_at
         self.window = math.inf if me.role is Role.EDGE else START  # fills in hand; a slow start until cut
 
@@ -55,7 +55,7 @@
         self.deadline, self.aim = now + ask.time_left, cls.aim + cls.aim_stretch * work
         self.tried: list[str] = []
         self.sent = self.out = 0
-        self.cost = 1.0  # of a further attempt: an error that came at once took next to nothing
+        self.cost = 1.0  # of a further attempt; less after what is no sign of a crowd: a quick error, a break
         self.missed = self.lacked = self.full = False  # a miss; at a parent too; no place there for a fill
         self.ran: Member | None = None  # the first cache where it may have run
 
@@ -405,7 +405,8 @@
             request.ran, request.first_ran = attempt.edge.me, attempt.sent
         request.full = event.verdict is Verdict.FULL and event.wait <= 2 * self.s.tick and request.missed
         request.missed = event.verdict is Verdict.MISS or request.full
-        request.cost = min(1.0, event.wait / request.work) if event.verdict is Verdict.ERROR else 1.0
+        quick = min(1.0, event.wait / request.work)
+        request.cost = {Verdict.ERROR: quick, Verdict.BROKEN: 0.25}.get(event.verdict, 1.0)
         request.lacked = request.missed and bool(attempt and attempt.held)
         self._attempt(request, now)
 
@@ -442,8 +443,13 @@
             if request and not request.ask.size_kb:  # not told: the shortest wait seen tells most
                 self.sizes[request.ask.copy] = max(alone, self.s.tick) if alone else min(
                     event.wait, self.sizes.get(request.ask.copy, math.inf))
-        elif verdict in (Verdict.UNREACHABLE, Verdict.BROKEN):
+        elif verdict is Verdict.UNREACHABLE:
             self._accuse(edge, 2 * SUSPECT, now)
+        elif verdict is Verdict.BROKEN:
+            # One connection's end, whatever was open on it: only the next connect tells of the cache itself.
+            if now > edge.broken + self.s.connect_timeout:
+                edge.broken = now
+                self._accuse(edge, 1.0, now)
         elif verdict is Verdict.TIMEOUT and not attempt.overdue:
             self._late(attempt, now)
         elif verdict in (Verdict.ERROR, Verdict.FULL) and event.wait > 2 * self.s.tick:
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -96,6 +96,7 @@
     answer: Callable[[Asked], Reply] = data
     asked: list[Asked] = field(default_factory=list)
     dropped: list[str] = field(default_factory=list)
+    alive: bool = True  # whether it answers PING
     news: trio.Event = field(default_factory=trio.Event)
 
     async def until(self, true: Callable[[], bool]) -> None:
@@ -115,6 +116,10 @@
                     if word == "DROP":
                         self.dropped.append(words[0])
                         buffer = rest
+                    elif word == "PING":
+                        buffer = rest
+                        if self.alive:
+                            await stream.send_all(f"{words[0]} well - 0\r\n\r\n".encode())
                     else:
                         wire_id, told, size = words
                         if len(rest) < int(size) + 2:
@@ -268,12 +273,13 @@
 @contextlib.asynccontextmanager
 async def platform(tmp_path: Path, boxes: list[Box], log: Log | None = None,
                    purged: list[dict[str, Any]] | None = None, sockets: int = 1024,
-                   ) -> AsyncIterator[Program]:
+                   probe: bool = False) -> AsyncIterator[Program]:
     """The program on the platform, with a list in its configuration."""
     port = free_port()
     known = [{"seq": 1, "fleet": {"rev": 1, "all": True, "targets": [target(box) for box in boxes]}}]
     known += [{"seq": 2 + n, "invalidate": item} for n, item in enumerate(purged or [])]
-    config = {"name": "n0", "listen": f"127.0.0.1:{port}", "seed": "8c1f", "settings": SETTINGS,
+    config = {"name": "n0", "listen": f"127.0.0.1:{port}", "seed": "8c1f",
+              "settings": {**SETTINGS, "Limits": {**SETTINGS["Limits"], "MayProbe": probe}},
               "known": {"seq": known[-1]["seq"], "results": known}, "limits": {"sockets": sockets}}
     if log:
         config["changelog"] = f"127.0.0.1:{log.port}"
--- a/tests/test_ladder.py
+++ b/tests/test_ladder.py
@@ -138,3 +138,14 @@
     fetch = only(rig.ask(), Fetch)
     assert every(rig.end(fetch, Verdict.ERROR, wait=0.004), Fetch)
     assert rig.router.retries > before - 0.1
+
+
+@pytest.mark.parametrize(("verdict", "out"), [(Verdict.BROKEN, False), (Verdict.UNREACHABLE, True)])
+def test_one_connection_breaks(verdict: Verdict, out: bool) -> None:
+    """All that was open on one connection ends at once: that alone must not take its cache out."""
+    rig = Rig(members(edges=2))
+    open_there = [fetch for n in range(12) for fetch in every(rig.ask(f"o{n}"), Fetch)]
+    for fetch in open_there:
+        if fetch.server == "edge-0":
+            rig.end(fetch, verdict)
+    assert bool(rig.router.servers["edge-0"].down) is out
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -237,6 +237,30 @@
         nursery.cancel_scope.cancel()
 
 
+@pytest.mark.parametrize(("cls", "part", "alive", "status"), [
+    ("video-parts", b"", False, 200), ("video-parts", b"%b data - 900\r\nxyz\r\n", False, 200),
+    ("video-parts", b"", True, 504),  # a box that lives may take its time
+    ("sheet-submit", b"", False, 502),  # it may have run
+])
+@with_trio
+async def test_mute_connection(tmp_path: Path, cls: str, part: bytes, alive: bool, status: int) -> None:
+    """A connection that stays open and says nothing more is given up; a read goes by another, in time."""
+    async with trio.open_nursery() as nursery:
+        edge, origin = [await box.open(nursery) for box in fleet()]
+        edge.alive = origin.alive = alive
+
+        def once(asked: Asked) -> Reply:
+            if len(edge.asked) + len(origin.asked) > 1 and not alive:
+                return data(asked)
+            return part % asked.id.encode() if part else None
+
+        edge.answer = origin.answer = once
+        async with platform(tmp_path, [edge, origin], probe=True) as doorman:
+            assert (await doorman.ask(cls, body=b"signed" * (cls == "sheet-submit")))[0] == status
+            assert len(edge.asked) + len(origin.asked) == (2 if status == 200 else 1)
+        nursery.cancel_scope.cancel()
+
+
 @with_trio
 async def test_reused_address(tmp_path: Path) -> None:
     """A new box at a gone one's address is another box."""
