Serve from copies of our own; let cold budgets go by learned link widths

Ruled out: connections (given up within 0.2 s), retries (budget full). Now (1) cold budgets of caches go by half the least width learned of a warm cache here, as more is in hand than on a link; (2) brackenlane/copies.py keeps what was passed on in an eighth of the memory allowed, serves it while fresh and not purged, and only while our own link sends it within half the aim; a purge drops it at once, and what was fetched before a purge is not kept.

--- a/brackenlane/__main__.py
+++ b/brackenlane/__main__.py
@@ -12,6 +12,7 @@
 import trio
 
 from brackenlane.config import Config, ConfigError, load
+from brackenlane.copies import Copies
 from brackenlane.core import Core
 from brackenlane.limits import Limits
 from brackenlane.net.changelog import ChangeLog
@@ -32,7 +33,7 @@
     with trio.open_signal_receiver(signal.SIGHUP) as hangups:
         async with trio.open_nursery() as nursery:
             core = Core(config.settings, config.seed, limits, lambda attempt: depots.place(attempt),
-                        flow=config.flow)
+                        flow=config.flow, copies=_own_copies(config, limits))
             depots = Depots(core.fleet, limits, config.settings, core.report, nursery)
             changes = ChangeLog(config.changelog, config.site, limits, depots, core.tell)
             nursery.start_soon(core.run)
@@ -44,6 +45,14 @@
             nursery.cancel_scope.cancel()
 
 
+def _own_copies(config: Config, limits: Limits) -> Copies | None:
+    """Copies of our own, where we are told what our link bears."""
+    if not config.flow or not config.link:
+        return None
+    room = limits.copies * config.memory_mb * 2**20
+    return Copies(config.settings, room, config.flow, config.link, limits.age_slack)
+
+
 async def _reload(hangups: AsyncIterator[int], config: Config, changes: ChangeLog) -> None:
     """On SIGHUP read the file again and move to the change log's address; a bad file changes nothing."""
     async for _ in hangups:
--- /dev/null
+++ b/brackenlane/copies.py
@@ -0,0 +1,74 @@
+"""Copies of our own: objects held in memory and served while our own link to clients has room."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from frostsail.interface import Arrival, Purged, RequestClass, Settings
+
+
+@dataclass(slots=True, frozen=True)
+class Copy:
+    """One part of an object, as a box gave it out."""
+
+    arrival: Arrival  # of the request that it was fetched for: object, part and group
+    body: bytes
+    tag: str
+    issued: float  # Unix time at which the origin gave it out
+
+
+class Copies:
+    """Bounded in bytes; what was used longest ago goes first."""
+
+    def __init__(self, settings: Settings, room: float, flow: float, link: float, slack: float) -> None:
+        self._room, self._flow, self._link, self._slack = room, flow, link, slack
+        self._classes = {c.name: c for c in settings.classes if not c.uncached}
+        self._kept: OrderedDict[tuple[str, str], Copy] = OrderedDict()
+        self._bytes = 0.0
+        self._free = 0.0  # when all that our link carries now has gone out
+
+    def keep(self, copy: Copy) -> None:
+        """Keep what a box has answered."""
+        size = len(copy.body)
+        key = copy.arrival.cls, copy.arrival.copy
+        if copy.arrival.cls not in self._classes or not 0 < size <= self._room / 8:
+            return
+        self._drop(key)
+        self._kept[key] = copy
+        self._bytes += size
+        while self._bytes > self._room:
+            self._drop(next(iter(self._kept)))
+
+    def find(self, ask: Arrival, tag: str, now: float) -> Copy | None:
+        """The copy that serves a request in time by our own link, if there is one; it is taken as served."""
+        cls, copy = self._classes.get(ask.cls), self._kept.get((ask.cls, ask.copy))
+        if cls is None or copy is None:
+            return None
+        if cls.fresh and now - copy.issued > cls.fresh - self._slack:
+            self._drop((ask.cls, ask.copy))
+            return None
+        if not self._in_time(cls, len(copy.body) / 20 if tag == copy.tag else len(copy.body), now):
+            return None
+        self._kept.move_to_end((ask.cls, ask.copy))
+        return copy
+
+    def _in_time(self, cls: RequestClass, size: float, now: float) -> bool:
+        """Whether our link has room; transfers share it in their order, one runs at the flow at most."""
+        free = max(self._free, now) + size / self._link
+        alone = size / self._flow
+        if max(free - now, alone) > (cls.aim + cls.aim_stretch * alone) / 2:
+            return False
+        self._free = free
+        return True
+
+    def purge(self, event: Purged, now: float) -> None:
+        """Guards against answering from a copy older than a purge: it goes as soon as we are told."""
+        at = now - event.age + self._slack
+        for key in [k for k, c in self._kept.items() if c.issued <= at and (
+                c.arrival.obj == event.obj if event.obj else c.arrival.group == event.group)]:
+            self._drop(key)
+
+    def _drop(self, key: tuple[str, str]) -> None:
+        if copy := self._kept.pop(key, None):
+            self._bytes -= len(copy.body)
--- a/brackenlane/core.py
+++ b/brackenlane/core.py
@@ -16,6 +16,7 @@
 
 import trio
 
+from brackenlane.copies import Copies, Copy
 from brackenlane.fleet import Fleet
 from brackenlane.limits import Limits
 from frostsail import Router
@@ -58,6 +59,7 @@
     body: bytes = b""
     tag: str = ""
     unchanged: bool = False
+    issued: float | None = None  # Unix time at which the origin gave out this copy
 
 
 @dataclass(slots=True, eq=False)
@@ -104,8 +106,10 @@
 
     def __init__(self, settings: Settings, seed: int, limits: Limits, place: Place,
                  clock: Callable[[], float] = time.time,
-                 notice: Callable[[str, Verdict], None] | None = None, flow: float = 0.0) -> None:
+                 notice: Callable[[str, Verdict], None] | None = None, flow: float = 0.0,
+                 copies: Copies | None = None) -> None:
         self._notice, self._flow = notice, flow  # flow: bytes a second of one transfer, if told
+        self._copies = copies
         self.settings, self.limits, self.clock = settings, limits, clock
         self.fleet = Fleet(settings)
         self.effects = {c.name: c.effect for c in settings.classes}
@@ -167,6 +171,10 @@
         if isinstance(message, tuple):
             self._outcome(*message, now)
         elif isinstance(message, Ask):
+            if answer := self._own(message, now):
+                message.over, message.answer = True, answer
+                message.done.set()
+                return
             name = message.arrival.request
             self._asks[name] = message
             heapq.heappush(
@@ -179,8 +187,20 @@
         else:
             if isinstance(message, (Membership, Purged)):
                 self.fleet.hear(message, now)
+            if isinstance(message, Purged) and self._copies:
+                self._copies.purge(message, now)
             self._handle(message, now)
 
+    def _own(self, ask: Ask, now: float) -> Answer | None:
+        """The answer by a copy of our own, which spares the boxes and the link in."""
+        if not self._copies or ask.connect_only:
+            return None
+        copy = self._copies.find(ask.arrival, ask.tag, now)
+        if copy is None:
+            return None
+        same = copy.tag == ask.tag
+        return Answer(Ending.UNCHANGED if same else Ending.SERVED, b"" if same else copy.body, copy.tag)
+
     def _ring(self, now: float) -> None:
         """Timers that are due: the Router's, and the last guard of each request."""
         while self._alarms and self._alarms[0][0] <= now:
@@ -256,6 +276,9 @@
         if self._notice:
             self._notice(attempt.fetch.server, reply.verdict)
         if reply.verdict is Verdict.OK:
+            if self._copies and reply.issued and not reply.unchanged and not self.fleet.purged(
+                    ask.arrival, reply.issued - self.limits.age_slack):
+                self._copies.keep(Copy(ask.arrival, reply.body, reply.tag, reply.issued))
             self._end(name, Answer(Ending.UNCHANGED if reply.unchanged else Ending.SERVED, reply.body,
                                    reply.tag, server=attempt.fetch.server))
         self._handle(Outcome(name, attempt.number, attempt.fetch.server, reply.verdict, reply.wait,
--- a/brackenlane/fleet.py
+++ b/brackenlane/fleet.py
@@ -56,6 +56,10 @@
                 age = min(age, max(since - self._tick, 0.001))
         return 0.0 if age == math.inf else age
 
+    def purged(self, ask: Arrival, issued: float) -> bool:
+        """Whether a copy is older than a purge that we were told of lately."""
+        return any(issued <= self.purges.get(key, -math.inf) for key in (ask.obj, ask.group))
+
     def too_old(self, ask: Arrival, issued: float, sent: float, slack: float) -> bool:
         """Guards against a copy older than its class may ever be served, whoever says that it will do."""
         return sent - issued > self._bounds.get(ask.cls, math.inf) + slack
--- a/brackenlane/limits.py
+++ b/brackenlane/limits.py
@@ -38,6 +38,9 @@
     pulse: float = 0.25  # for its answer to that; then the connection is given up
     mute: float = 3.0  # the same where boxes may not be probed: with a request open and no byte for so long
 
+    # Copies of our own
+    copies: float = 1 / 8  # of the memory that we are allowed
+
     # Mailboxes
     core_mail: int = 4_096
     peer_mail: int = 512
--- a/brackenlane/net/depots.py
+++ b/brackenlane/net/depots.py
@@ -196,7 +196,8 @@
             if old or (unchanged and not ask.tag):
                 log.warning("%s answered with what can't be served", slot.attempt.fetch.server)
                 verdict, body = Verdict.ERROR, b""
-        slot.settle(Reply(verdict, time.time() - slot.sent, answer.note, body, tag, unchanged))
+        slot.settle(Reply(verdict, time.time() - slot.sent, answer.note, body, tag, unchanged,
+                          answer.issued))
 
 
 class Dial:
--- a/frostsail/brain.py
+++ b/frostsail/brain.py
@@ -90,6 +90,7 @@
         self.means = {c.name: c.aim / 4 for c in settings.classes}  # mean sending time, learned
         self.mean_wait, self.wait_dev, self.strained = 0.5, 0.25, False  # of answers, in aims, learned
         self.misses = 0.5  # share of answers that were filled, learned
+        self.narrow = 0.0  # the least width learned of a warm cache; more is in hand than on a link
         self.faults = 0.0  # share of errors where no source took part, learned
         self.retries = 1 / RETRIES
         self.actions: list[Action] = []
@@ -267,7 +268,8 @@
         age = now - server.born
         if server.born <= 0 or age >= rule.ramp or server.me.role is Role.ORIGIN:
             return math.inf
-        can = MARGIN * server.me.weight * (rule.share + (1 - rule.share) * max(0.0, age) / rule.ramp)
+        weight = max(server.me.weight, self.narrow / 2 if server.me.role is Role.EDGE else 0.0)
+        can = MARGIN * weight * (rule.share + (1 - rule.share) * max(0.0, age) / rule.ramp)
         burst, sharers = (rule.factor - 1) * can * rule.span, self.seats
         if server.me.role is Role.PARENT:
             # Split over all, no share pays for a request. So locations of its hub join in an order that all
@@ -438,6 +440,8 @@
                 if event.note is Note.HIT and edge.me.role is Role.EDGE:
                     crowd = min(attempt.crowd, self._crowd(edge, self.seats) + 1)
                     self._widen(edge, crowd, event.wait / alone)
+                    warm = (e.width for e in self.edges if e.width and self._cold_room(e, now) == math.inf)
+                    self.narrow = min(warm, default=self.narrow)
                 elif filled and source and source.me.role is Role.PARENT and event.wait <= PROMPT * alone:
                     self._widen(source, min(attempt.queue, self._crowd(source, self.hub_seats)), 1.0)
             if request and not request.ask.size_kb:  # not told: the shortest wait seen tells most
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -273,14 +273,15 @@
 @contextlib.asynccontextmanager
 async def platform(tmp_path: Path, boxes: list[Box], log: Log | None = None,
                    purged: list[dict[str, Any]] | None = None, sockets: int = 1024,
-                   probe: bool = False) -> AsyncIterator[Program]:
+                   probe: bool = False, flow: float = 0.0) -> AsyncIterator[Program]:
     """The program on the platform, with a list in its configuration."""
     port = free_port()
     known = [{"seq": 1, "fleet": {"rev": 1, "all": True, "targets": [target(box) for box in boxes]}}]
     known += [{"seq": 2 + n, "invalidate": item} for n, item in enumerate(purged or [])]
     config = {"name": "n0", "listen": f"127.0.0.1:{port}", "seed": "8c1f",
               "settings": {**SETTINGS, "Limits": {**SETTINGS["Limits"], "MayProbe": probe}},
-              "known": {"seq": known[-1]["seq"], "results": known}, "limits": {"sockets": sockets}}
+              "known": {"seq": known[-1]["seq"], "results": known}, "limits": {"sockets": sockets},
+              "flow_bytes_per_s": flow, "link_bytes_per_s": 4 * flow}
     if log:
         config["changelog"] = f"127.0.0.1:{log.port}"
     path = tmp_path / "config.json"
--- a/tests/test_weights.py
+++ b/tests/test_weights.py
@@ -5,6 +5,7 @@
 import pytest
 
 from frostsail import drill
+from frostsail.brain import MARGIN
 from frostsail.interface import Effect, Fetch, Member, Note, Outcome, RequestClass, Role, Verdict
 from tests.rig import VIDEO, Rig, every
 from tests.stand_ins import SETTINGS
@@ -47,3 +48,21 @@
             rig.router.handle(Outcome(fetch.request, 0, fetch.server, Verdict.OK, wait, True, Note.HIT,
                                       size_kb=seen), rig.now)
     assert (crowds[-1] > 2 * crowds[0]) is wider, crowds
+
+
+@pytest.mark.parametrize("learned", [False, True])
+def test_cold_budget_of_learned_width(learned: bool) -> None:
+    """A cache that starts where links have proved wide is not kept idle on the budget of an assumed one."""
+    late = Member("edge-1", "depot", started_at=90.0)
+    rig = Rig([*FLEET, late], weights_told=False, classes=(VIDEO, SUBMIT))
+    rig.now = 100.0
+    rig.router.servers["edge-0"].width = 40.0
+    if learned:
+        fetch = next(f for n in range(50) for f in every(rig.ask(f"o{n}", size_kb=0.0), Fetch)
+                     if f.server == "edge-0")
+        rig.router.handle(Outcome(fetch.request, 0, "edge-0", Verdict.OK, 0.2, True, Note.HIT, size_kb=800.0),
+                          rig.now)
+    cold, plain = rig.router.servers["edge-1"], 4.0 * MARGIN * (0.18 + 0.82 * 10 / 18)
+    cold.stamp, cold.tokens = 0.0, 0.0
+    room = rig.router._cold_room(cold, rig.now)
+    assert room == pytest.approx(3 * plain * (5.0 if learned else 1.0))
