Serve own copies only while our link is as quick as a box, and not in their last fifth

Cause: Copies._in_time took requests up to half the aim, so answers queued on our link while boxes stood idle; and boxes asked less often renew less often, so sheet-pages expired there. Now a copy is served only if our link sends it within one flow's time and an eighth of the aim, and requests in the last fifth of the fresh time go to the boxes, which renew.

--- a/brackenlane/copies.py
+++ b/brackenlane/copies.py
@@ -45,7 +45,8 @@
         cls, copy = self._classes.get(ask.cls), self._kept.get((ask.cls, ask.copy))
         if cls is None or copy is None:
             return None
-        if cls.fresh and now - copy.issued > cls.fresh - self._slack:
+        # In the last fifth of its fresh time the boxes are asked, which renew theirs behind an answer.
+        if cls.fresh and now - copy.issued > 0.8 * cls.fresh - self._slack:
             self._drop((ask.cls, ask.copy))
             return None
         if not self._in_time(cls, len(copy.body) / 20 if tag == copy.tag else len(copy.body), now):
@@ -54,10 +55,10 @@
         return copy
 
     def _in_time(self, cls: RequestClass, size: float, now: float) -> bool:
-        """Whether our link has room; transfers share it in their order, one runs at the flow at most."""
+        """Whether our link sends it about as soon as one flow can; transfers share it in their order."""
         free = max(self._free, now) + size / self._link
         alone = size / self._flow
-        if max(free - now, alone) > (cls.aim + cls.aim_stretch * alone) / 2:
+        if free - now > alone + cls.aim / 8:  # a box would send it sooner
             return False
         self._free = free
         return True
