Spread what is open at a box over up to four connections

Trace of the doorman that lost: six connections went mute in 4 s, each with 18 to 53 requests open: Peer._try put everything on the first connection that took it, so one spoilt answer cost all that was open at its box. Ruled out: boxes left out (two short ones), windows (37, a third used). One of its two caches is replaced meanwhile; that loss stays. Now the connection with fewest open requests is taken, and from six on each one more is opened beside, up to four (two at 256 descriptors). A silent one is asked after one aim, not half: it carries less, and probes cost.

--- a/brackenlane/limits.py
+++ b/brackenlane/limits.py
@@ -30,7 +30,8 @@
     object_size: int = 240_000  # the largest body of an answer
     line: int = 2_048  # the longest line of an answer
     link_waiting: int = 100  # open requests on one connection
-    links: int = 8  # connections to one box
+    links: int = 4  # connections to one box
+    link_share: int = 6  # open requests on each, from which one more connection is opened
     given_up: int = 512  # ids remembered per connection, whose late answers are ignored
     write_stall: float = 1.0  # a connection that takes no byte for so long is closed
     keepalive: float = 24.0  # own idle connections are closed before the box does it (30 s)
@@ -83,11 +84,11 @@
     def within(self, sockets: int) -> Limits:
         """With no more connections than so many descriptors allow; clients use a third of them at most."""
         return replace(self, clients=min(self.clients, sockets * 2 // 5),
-                       links=min(self.links, max(1, sockets // 128)))
+                       links=min(self.links, max(2, sockets // 96)))
 
     def suited(self, settings: Settings) -> Limits:
         """With the times that follow from what the classes' clients want."""
         aim = min(c.aim for c in settings.classes)
-        return replace(self, quiet=aim / 2, pulse=min(aim, settings.connect_timeout),
+        return replace(self, quiet=aim, pulse=min(aim, settings.connect_timeout),
                        mute=max(c.give_up for c in settings.classes) / 2,
                        last_answers=max(c.give_up for c in settings.classes) + 0.5)
--- a/brackenlane/net/depots.py
+++ b/brackenlane/net/depots.py
@@ -62,6 +62,11 @@
         return (self.open and len(self._waiting) < self._limits.link_waiting
                 and wire_id not in self._waiting and wire_id not in self._given_up)
 
+    @property
+    def load(self) -> int:
+        """Requests open here."""
+        return len(self._waiting)
+
     @property
     def idle(self) -> bool:
         """Whether nothing waits for an answer here."""
@@ -263,11 +268,15 @@
         if attempt.ask.connect_only:
             return await self._reach(attempt)
         while True:
-            link = next((at for at in self._links if at.takes(attempt.ask.wire_id)), None)
-            if link:
-                return await link.ask(attempt)
             self._links = [at for at in self._links if at.open]
-            if len(self._links) >= self._limits.links or not self._fleet.allows(attempt.fetch):
+            room = len(self._links) < self._limits.links and self._fleet.allows(attempt.fetch)
+            if links := [at for at in self._links if at.takes(attempt.ask.wire_id)]:
+                link = min(links, key=lambda at: at.load)
+                # Guards against losing all that is open at a box with one connection that ends or goes mute.
+                if room and link.load >= self._limits.link_share:
+                    self._start_dial(nursery)
+                return await link.ask(attempt)
+            if not room:
                 return NEVER_SENT
             if await self._connect(nursery) is None:
                 return Reply(Verdict.UNREACHABLE, time.time() - attempt.started)
@@ -283,12 +292,16 @@
 
     async def _connect(self, nursery: trio.Nursery) -> Link | None:
         """A new connection; all who need one meanwhile share it."""
+        dial = self._start_dial(nursery)
+        await dial.done.wait()
+        return dial.link
+
+    def _start_dial(self, nursery: trio.Nursery) -> Dial:
+        """The try to connect that is under way, or a new one."""
         if self._dial is None:
             self._dial = Dial()
             nursery.start_soon(self._run_dial, self._dial, nursery)
-        dial = self._dial
-        await dial.done.wait()
-        return dial.link
+        return self._dial
 
     async def _run_dial(self, dial: Dial, nursery: trio.Nursery) -> None:
         try:
