Forget boxes that are gone, and objects one by one by age

In _list, members told as gone stayed in Router.servers for good; heat and sizes grew to 20,000 objects and then were dropped all at once, with all that was learned; sizes had no bound of their own.

--- a/frostsail/brain.py
+++ b/frostsail/brain.py
@@ -8,6 +8,7 @@
 
 import math
 import random
+from collections import OrderedDict
 from dataclasses import replace
 from hashlib import blake2b
 from itertools import chain
@@ -24,7 +25,7 @@
 HOT = 1 / 8  # of a cache's link, wanted by one object: spread it over one cache more
 MEMORY = 10.0  # seconds in which an aged count falls to 1/e
 START = 8.0  # fills that a source is given at once until its window is learned
-KEPT = 20000  # objects remembered, at most
+KEPT = 6000  # objects remembered, at most
 RETRIES = 0.2  # further attempts earned by each request
 SUSPECT = 2.0  # blame that takes a server out
 HEADROOM = 0.7  # of the time left that an attempt may need by its cache's crowd
@@ -85,7 +86,7 @@
         self.timers: dict[int, tuple[str, int]] = {}  # token: request and attempt, -1 for its deadline
         self.token = 0
         self.purges: dict[str | int, float] = {}  # by object (text) or group (number): when
-        self.heat: dict[str, tuple[float, float]] = {}  # aged work asked for per object
+        self.heat: OrderedDict[str, tuple[float, float]] = OrderedDict()  # aged work asked for per object
         self.sizes: dict[str, float] = {}  # sending times by object's part, where sizes are not told
         self.means = {c.name: c.aim / 4 for c in settings.classes}  # mean sending time, learned
         self.mean_wait, self.wait_dev, self.strained = 0.5, 0.25, False  # of answers, in aims, learned
@@ -141,6 +142,8 @@
             if known is None or m.started_at > known.born:
                 known = self.servers[m.server] = Server(m)  # a new start: cold, and nothing known of it
             known.me = m if self.s.weights_told else replace(m, weight=UNTOLD[m.role])
+        # Boxes are replaced all day long: those that are gone must not add up.
+        self.servers = {name: s for name, s in self.servers.items() if s.me.state is not State.GONE}
         serving = [s for s in self.servers.values() if s.me.state is State.SERVING]
         self.edges = [s for s in serving if s.me.role is Role.EDGE and s.me.zone == self.s.location]
         self.origin = next((s for s in serving if s.me.role is Role.ORIGIN), None)
@@ -198,8 +201,9 @@
         heat, at = self.heat.get(request.ask.copy, (0.0, now))
         heat = heat * math.exp((at - now) / MEMORY) + request.work
         self.heat[request.ask.copy] = (heat, now)
-        if len(self.heat) > KEPT:
-            self.heat, self.sizes = {}, {}
+        self.heat.move_to_end(request.ask.copy)
+        if len(self.heat) > KEPT:  # what was asked for longest ago is forgotten, not all at once
+            self.sizes.pop(self.heat.popitem(last=False)[0], None)
         link = sum(e.me.weight for e in self.edges) / max(1, len(self.edges))
         return 1 + min(WIDEST - 1, int(heat / MEMORY / max(HOT * link, 1e-9)))
 
@@ -444,7 +448,8 @@
                     self.narrow = min(warm, default=self.narrow)
                 elif filled and source and source.me.role is Role.PARENT and event.wait <= PROMPT * alone:
                     self._widen(source, min(attempt.queue, self._crowd(source, self.hub_seats)), 1.0)
-            if request and not request.ask.size_kb:  # not told: the shortest wait seen tells most
+            # A size that is not told: the shortest wait seen tells most. Kept only beside its object's heat.
+            if request and not request.ask.size_kb and request.ask.copy in self.heat:
                 self.sizes[request.ask.copy] = max(alone, self.s.tick) if alone else min(
                     event.wait, self.sizes.get(request.ask.copy, math.inf))
         elif verdict is Verdict.UNREACHABLE:
--- a/tests/test_ladder.py
+++ b/tests/test_ladder.py
@@ -149,3 +149,17 @@
         if fetch.server == "edge-0":
             rig.end(fetch, verdict)
     assert bool(rig.router.servers["edge-0"].down) is out
+
+
+def test_nothing_adds_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    """On a long day of new objects and replaced boxes, neither is remembered for good."""
+    monkeypatch.setattr("frostsail.brain.KEPT", 50)
+    rig = Rig()
+    for n in range(200):
+        new = [Member(f"new-{n}", "depot", weight=8.0), Member(f"new-{n - 1}", "depot", state=State.GONE)]
+        rig.tell(new if n else new[:1])
+        rig.serve(f"o{n}", size_kb=0.0)
+    router = rig.router
+    assert len(router.servers) == len(members()) + 1
+    assert max(len(router.heat), len(router.sizes), len(router.orders)) <= 51
+    assert "o199/0" in router.sizes and not router.attempts
