--- a/brackenlane/__main__.py
+++ b/brackenlane/__main__.py
@@ -65,7 +65,8 @@
         if told := [name for name in fixed if getattr(new, name) != getattr(config, name)]:
             log.warning("SIGHUP: taken in at the next start only: %s", ", ".join(told))
         changes.move(new.changelog)
-        log.info("SIGHUP: the change log: %s", "%s:%d" % new.changelog if new.changelog else "none is told")
+        host, port = new.changelog or ("nowhere", 0)
+        log.info("SIGHUP: the change log is at %s, port %d", host, port)
 
 
 def main(words: list[str]) -> int:
