Don't serve a cached class's answer that bears neither tag nor time

Seen in review of Link._answer beside PROTOCOL: 'data' without entity or issued was passed on, and could not be checked for its age. Now it is an error of that attempt, repeated as the class allows. So it is checked for cached classes alone, for our own ids.

--- a/brackenlane/net/depots.py
+++ b/brackenlane/net/depots.py
@@ -198,7 +198,9 @@
             # Guards against a copy that is too old, or an 'unchanged' that nobody asked for.
             old = answer.issued is not None and self._fleet.too_old(
                 ask.arrival, answer.issued, slot.sent, self._limits.age_slack)
-            if old or (unchanged and not ask.tag):
+            # Nor may bytes pass that only look like an answer: what is kept bears its tag and its time.
+            bare = not ask.arrival.is_write and (not tag or answer.issued is None)
+            if old or bare or (unchanged and not ask.tag):
                 log.warning("%s answered with what can't be served", slot.attempt.fetch.server)
                 verdict, body = Verdict.ERROR, b""
         slot.settle(Reply(verdict, time.time() - slot.sent, answer.note, body, tag, unchanged,
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -58,6 +58,8 @@
     ("sheet-pages", old, False),
     ("sheet-pages", lambda a: data(a, b"", "unchanged"), False),  # nobody passed on a tag
     ("video-parts", lambda a: data(a)[:-4], False),  # cut in its body
+    ("video-parts", lambda a: f"{a.id} data - 5\r\nbytes\r\n".encode(), False),  # neither tag nor time
+    ("video-parts", lambda a: data(a, issued="soon"), False),
     ("video-parts", lambda a: b"no answer at all\r\n", False),
     ("video-parts", lambda a: f"{a.id} data - 999999999\r\n".encode(), False),
     ("video-parts", lambda a: b"x" * 5000, False),
