Send a write under strain straight to its source: a look for it always comes back

Seen, one request followed by its id through n148 (split+mass): 0.000 F 0 s- source s- (a look at the cache) 0.002 O 0 MISS 0.001 0.002 F 1 s- source s- shallow 0.017 O 1 MISS 0.015 0.018 E REFUSED missed=True lacked=True strained=True, aim left 0.94 s, origin: window 1.0, in hand 1 A write is kept nowhere, so both looks are certain misses, and the two misses then passed for "the parent lacks it": the origin's window, one fill for each of 200 doormans, ended what a parent with room could take. Ruled out: the parents' windows (7 of 12 had room), the link (it fits), CPU (0.07 of a core).

At fault: Router._attempt, the two looks under `strained`, which asked of every class. Writes now keep their source. The test fails without it.

--- a/frostsail/brain.py
+++ b/frostsail/brain.py
@@ -373,11 +373,13 @@
                 behind and not self._usable(behind, request, now)):
             return self._finish(request, now)
         # Under strain look first, at the cache, then at the parent: the origin behind may be what is slow.
-        if self.strained and not request.missed and edge.me.role is Role.EDGE:
+        # But a write is kept nowhere: every look for it comes back.
+        strained = self.strained and not request.cls.uncached
+        if strained and not request.missed and edge.me.role is Role.EDGE:
             source = None
         # Of a group purged whole lately the parent has nothing either: a look there would only come back.
         void = now - self.purges.get(request.ask.group, -math.inf) <= 2 * self.s.purge_done
-        look = self.strained and request.missed and not behind and edge is not source and not void
+        look = strained and request.missed and not behind and edge is not source and not void
         held = look and source is not None and now > source.slow + MEMORY
         asked, source = source, behind or source
         self.retries -= again * request.cost
--- a/tests/test_strain.py
+++ b/tests/test_strain.py
@@ -9,7 +9,9 @@
 
 import pytest
 
-from frostsail.interface import Cancel, Fetch, Note, Outcome, Purged, Refuse, Role, SetTimer, Verdict, Wake
+from frostsail.interface import (
+    Cancel, Effect, Fetch, Note, Outcome, Purged, Refuse, Role, SetTimer, Verdict, Wake,
+)
 from tests.rig import TILES, VIDEO, Rig, every, members, only
 
 
@@ -221,3 +223,15 @@
     assert looked.source == looked.server
     fetch = only(rig.end(looked, Verdict.MISS, Note.UNTOLD, wait=0.01), Fetch)
     assert fetch.source.startswith("parent") and fetch.held_only is not purged
+
+
+def test_under_strain_nobody_looks_for_a_write() -> None:
+    """It is kept nowhere: looks at a cache and a parent come back; then the origin's window ends it."""
+    submit = replace(VIDEO, name="submit", effect=Effect.UNSAFE, uncached=True)
+    rig = strained(classes=(VIDEO, submit))
+    sent = only(rig.ask("sheet", "submit", is_write=True), Fetch)
+    assert sent.source != sent.server and not sent.held_only
+    origin = rig.router.servers["origin"]
+    origin.window, origin.hand = 1.0, 1.0  # with the origin's window full, a parent takes it there
+    sent = only(rig.ask("sheet", "submit", is_write=True), Fetch)
+    assert sent.source.startswith("parent") and not sent.held_only
