Come back to a lost log spread over time, look seldom when idle, mind which copy is current

Seen and at fault: - ChangeLog._end asked again after exactly 0.2 s: all who lose the log at one moment come back at one, five times a second. Now 0.1 to 0.3 s first, doubled to 0.25 to 0.75 s; a break counts as told after 2 s, so no more than that. Now twice a second for boxes while nothing is open there (at once often again when an attempt is placed) and five times a second for clients. - Link._answer took an `unchanged` that names another copy than the client holds; the client would have been told that its copy is current though no box named it.

Ruled out as causes of load: descriptors (32 to 44 of 512 to 672), memory (16 to 18 MB of 80 to 96).

--- a/brackenlane/__main__.py
+++ b/brackenlane/__main__.py
@@ -33,7 +33,7 @@
             core.timers.first = board.hear
             depots = Depots(core.fleet, limits, config.settings, core.report, board, core.timers)
             changes = ChangeLog(config.changelog, config.site, limits, depots, core.post, board,
-                                core.timers)
+                                core.timers, config.seed)
             nursery.start_soon(core.run)
             nursery.start_soon(board.run)
             changes.start(read_known(config.known, config.site, time.time()),
--- a/brackenlane/limits.py
+++ b/brackenlane/limits.py
@@ -21,6 +21,7 @@
     request_time: float = 2.5  # from a later request's first byte to its last; to take an answer
     linger: float = 0.5  # reads on after an error, so that the answer is not lost to a reset
     linger_room: int = 1_048_576  # and no more than so much
+    look: float = 0.2  # between two looks at what clients' connections wait for
     longest_wait: float = 60.0  # the most that a client may ask us to wait
     answer_margin: float = 0.005  # of a client's time, kept for the way back
     answer_slack: float = 0.05  # past a client's time, within which an answer still counts
@@ -34,7 +35,8 @@
     link_share: int = 6  # open requests on each, from which one more connection is opened
     given_up: int = 512  # ids remembered per connection, whose late answers are ignored
     write_stall: float = 1.0  # a connection that takes no byte for so long is closed
-    watch: float = 0.05  # between two looks at the connections
+    watch: float = 0.05  # between two looks at the connections to boxes while anything is open on one
+    watch_idle: float = 0.5  # while nothing is; and nothing there is closed before it was idle for longer
     keepalive: float = 24.0  # own idle connections are closed before the box does it (30 s)
     quiet: float = 0.1  # with a request open and no byte for so long, a connection is asked whether it lives
     quiet_price: float = 0.0125  # of a probe, up to which it is asked an aim later; beyond, in proportion
@@ -55,7 +57,8 @@
     # List of boxes
     frame: int = 1_048_576  # the longest frame of the change log
     log_silence: float = 3.5  # it sends something each second; silent for longer, it is asked anew
-    log_retry: float = 0.2  # between two tries to reach it
+    log_retry: float = 0.2  # between two tries to reach it, a half sooner or later: not all doors at once
+    log_retry_most: float = 0.5  # to which that doubles; what a break hid counts as told 2 s after it
 
     # Purges and drains
     age_slack: float = 0.05  # clocks of two machines
--- a/brackenlane/net/changelog.py
+++ b/brackenlane/net/changelog.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import random
 import socket
 import time
 from collections.abc import Callable, Iterable
@@ -22,7 +23,7 @@
     """Follows one change log from the last event held, for good; one connection at a time."""
 
     def __init__(self, endpoint: Endpoint | None, site: Site, limits: Limits, depots: Depots,
-                 tell: Callable[[Event], None], board: Board, timers: Timers) -> None:
+                 tell: Callable[[Event], None], board: Board, timers: Timers, seed: int = 0) -> None:
         self._endpoint, self._site, self._limits = endpoint, site, limits
         self._depots, self._tell, self._board, self._timers = depots, tell, board, timers
         self._dial: Dial | None = None
@@ -30,6 +31,7 @@
         self._heard = 0.0  # when the connection said something last, or came up
         self._reader = FrameReader(limits.frame)
         self._again: Timer | None = None  # the next try
+        self._random, self._wait = random.Random(seed), limits.log_retry  # before it, on average
         self.last = 0
 
     def start(self, known: Iterable[Change], last: int) -> None:
@@ -58,6 +60,7 @@
         self._dial = None
         if sock is None:
             return self._end("no connection")
+        self._wait = self._limits.log_retry
         self._sock, self._heard, self._reader = sock, time.time(), FrameReader(self._limits.frame)
         self._board.add(sock.fileno(), self._ready, urgent=True)
         self._timers.at(self._heard + self._limits.log_silence, self._watch, sock)
@@ -99,7 +102,10 @@
         """What was missed while away comes first on the next connection."""
         log.warning("change log: %s", why)
         self._close()
-        self._again = self._timers.at(time.time() + self._limits.log_retry, self._connect)
+        # Guards the log against all doormans, which lose it at one moment and would come back at one.
+        wait = self._wait * self._random.uniform(0.5, 1.5)
+        self._again = self._timers.at(time.time() + wait, self._connect)
+        self._wait = min(2 * self._wait, self._limits.log_retry_most)
 
     def _close(self) -> None:
         self._dial = None  # what comes of it is let go
--- a/brackenlane/net/clients.py
+++ b/brackenlane/net/clients.py
@@ -144,7 +144,7 @@
         self._refusals: dict[int, bytes] = {}  # by whole seconds to stay away
         self.refusal = self._refusal(time.time())  # a whole one, as it is worded now
         board.after.append(self._serve)
-        core.timers.at(time.time() + limits.watch, self._watch, time.time() + limits.watch)
+        core.timers.at(time.time() + limits.look, self._watch, time.time() + limits.look)
 
     # Connections
 
@@ -234,7 +234,7 @@
     def _watch(self, due: float) -> None:
         """Close what has waited too long."""
         now = time.time()
-        self._core.timers.at(now + self._limits.watch, self._watch, now + self._limits.watch)
+        self._core.timers.at(now + self._limits.look, self._watch, now + self._limits.look)
         told = self.figures.tick(now, max(0.0, now - due), time.process_time())
         if told and told.shedding:
             log.warning("short of CPU: %s", told.line())
--- a/brackenlane/net/depots.py
+++ b/brackenlane/net/depots.py
@@ -250,12 +250,12 @@
         tag = answer.fields.get("entity", "").strip('"')
         unchanged = answer.word == "unchanged"
         if verdict is Verdict.OK:
-            # Guards against a copy that is too old, or an 'unchanged' that nobody asked for.
+            # Guards against a copy that is too old, or an 'unchanged' of another copy than the client holds.
             old = answer.issued is not None and self._fleet.too_old(
                 ask.arrival, answer.issued, slot.sent, self._limits.age_slack)
             # Nor may bytes pass that only look like an answer: what is kept bears its tag and its time.
             bare = not ask.arrival.is_write and (not tag or answer.issued is None)
-            if old or bare or (unchanged and not ask.tag):
+            if old or bare or (unchanged and tag != ask.tag):
                 log.warning("%s answered with what can't be served", slot.attempt.fetch.server)
                 verdict, body = Verdict.ERROR, b""
         slot.settle(Reply(verdict, now - slot.sent, answer.note, body, tag, unchanged,
@@ -328,6 +328,11 @@
         """The box is gone: finish what is out, take nothing more."""
         self._leaving = True
 
+    @property
+    def busy(self) -> bool:
+        """Whether an answer is waited for."""
+        return not all(link.idle for link in (*self._links, *self._old))
+
     def watch(self, now: float, lag: float) -> bool:
         """Look after the connections; whether there is anything left to look after."""
         for link in (*self._links, *self._old):
@@ -419,7 +424,11 @@
         self._endpoints: dict[str, Endpoint] = {}
         self._peers: dict[str, Peer] = {}
         self._gone: list[Peer] = []  # off the list, with something out
-        timers.at(time.time() + limits.watch, self._watch, time.time() + limits.watch)
+        self._look = self._look_in(time.time(), limits.watch)
+        self._idle = False  # nothing is open anywhere: looks are far between
+
+    def _look_in(self, now: float, wait: float) -> Timer:
+        return self._timers.at(now + wait, self._watch, now + wait)
 
     def place(self, attempt: Attempt) -> bool:
         """Hand an attempt to its box's actor; False if it can't be taken."""
@@ -430,6 +439,10 @@
                 return False
             peer = self._peers[server] = Peer(server, self._endpoints[server], self._fleet, self._limits,
                                               self._settings, self._report, self._board, self._timers)
+        if self._idle:
+            self._idle = False
+            self._look.cancel()
+            self._look = self._look_in(time.time(), self._limits.watch)
         return peer.post(attempt)
 
     def follow(self, endpoints: dict[str, Endpoint], gone: set[str], whole: bool) -> None:
@@ -452,7 +465,8 @@
         now = time.time()
         # Guards against holding our own slowness against the boxes: what we could not read is not silence.
         lag = max(0.0, now - due)
-        self._timers.at(now + self._limits.watch, self._watch, now + self._limits.watch)
         for peer in self._peers.values():
             peer.watch(now, lag)
         self._gone = [peer for peer in self._gone if peer.watch(now, lag)]
+        self._idle = not any(peer.busy for peer in (*self._peers.values(), *self._gone))
+        self._look = self._look_in(now, self._limits.watch_idle if self._idle else self._limits.watch)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -49,6 +49,28 @@
         nursery.cancel_scope.cancel()
 
 
+@with_trio
+async def test_current_is_what_a_box_named(tmp_path: Path) -> None:
+    """A client's copy is called current only if a box named that copy to this doorman, not another one."""
+    named = "e2"
+    async with trio.open_nursery() as nursery:
+        def answer(asked: Asked) -> Reply:
+            return data(asked, b"", "unchanged", entity=named) if "mine" in asked.fields else data(asked)
+
+        edge, origin = [await box.open(nursery) for box in fleet(answer)]
+        async with platform(tmp_path, [edge, origin], flow=1e6) as doorman:
+            assert (await doorman.ask(If_None_Match='"made-up"'))[0] not in (200, 304)
+            named = "e1"
+            assert (await doorman.ask(If_None_Match='"e1"'))[0] == 304
+            assert (await doorman.ask())[0] == 200  # a copy of our own from now on
+            asked = len(edge.asked) + len(origin.asked)
+            assert (await doorman.ask(If_None_Match='"e1"'))[0] == 304
+            status, headers, body = await doorman.ask(If_None_Match='"made-up"')
+            assert (status, headers["etag"], body) == (200, '"e1"', b"bytes")
+            assert len(edge.asked) + len(origin.asked) == asked
+        nursery.cancel_scope.cancel()
+
+
 def old(asked: Asked) -> bytes:
     """A copy past all that its class allows."""
     return data(asked, issued=str(int(time.time() * 1000) - 60_000))
