Spend no cold budget twice over a restart; cold budgets in a module of their own

At fault: Server.__init__ (tokens fill from the server's start, also from before our own). They now fill from the later of both. Ruled out: uneven loads (a gateway's share is its own), lists told late (the bucket's bound), the margin of 0.85 (it covers one burst, not two).

Change: frostsail/cold.py holds ability, burst, order of joining and tokens, pure; the module uses it. Tests: 200 gateways in 33 locations with 12 parents in virtual time, one and six in ten servers cold, equal and uneven load (0.3 to 3 times), none pushed over and none idle for its ramp; with no shares taken (the fault planted) the check finds it; the double burst fails without the change.

--- a/frostsail/brain.py
+++ b/frostsail/brain.py
@@ -13,6 +13,7 @@
 from hashlib import blake2b
 from itertools import chain
 
+from frostsail.cold import Tokens, ability, burst, joined
 from frostsail.interface import (
     Action, Arrival, Cancel, Effect, Event, Fail, Fetch, ListKind, Member, Membership, Note, Outcome,
     Purged, Refuse, RequestClass, Role, Scope, SetTimer, Settings, Started, State, Subscribe, Verdict,
@@ -34,21 +35,20 @@
 HEADROOM = 0.7  # of the time left that an attempt may need by its cache's crowd
 UNTOLD = {Role.EDGE: 4.0, Role.PARENT: 10.0, Role.ORIGIN: 16.0}  # transfers, where weights are not told
 PROMPT = 1.3  # times its own sending time, within which a transfer met no crowd
-MARGIN = 0.85  # part of a cold budget that is used: weights and sizes are known roughly
 
 
 class Server:
     """What this gateway knows of one cache, parent or the origin."""
 
-    def __init__(self, me: Member, start: float = math.inf) -> None:
+    def __init__(self, me: Member, start: float = math.inf, since: float = 0.0) -> None:
         self.me, self.width = me, 0.0  # as listed; transfers on its link, as answers have shown
         self.hand = self.usual = 0.0  # our attempts at a cache, likely fills of a source; the mean lately
-        self.blame = self.tokens = 0.0  # what speaks against it since its last successes; its cold budget
+        self.blame = 0.0  # what speaks against it since its last successes
         self.down = self.gap = 0.0  # out until then, 0 = in; the last wait between trials
         self.trial = False
         self.timely = 1.0  # the share of its latest fills that were not overdue
         self.seen = self.cut = self.slow = self.broken = -math.inf  # alive, window halved, late, cut off
-        self.stamp = self.born = me.started_at
+        self.born, self.tokens = me.started_at, Tokens(max(me.started_at, since))
         self.window = math.inf if me.role is Role.EDGE else start  # fills in hand; a slow start until cut
 
 
@@ -81,6 +81,8 @@
     def __init__(self, settings: Settings, seed: int) -> None:
         self.s = settings
         self.random = random.Random(seed)
+        # Our own start: what we sent a cold server before it, in another life, is spent.
+        self.since = -math.inf
         self.servers: dict[str, Server] = {}
         self.edges: list[Server] = []  # of this location, serving
         self.rings: list[list[Server]] = []  # serving parents, by steps from this hub
@@ -124,6 +126,8 @@
     def handle(self, event: Event, now: float) -> list[Action]:
         """What to do about one event."""
         self.actions = []
+        if self.since == -math.inf:
+            self.since = now
         match event:
             case Arrival():
                 self._arrive(event, now)
@@ -149,13 +153,13 @@
         if self.s.must_ask and event.kind in (ListKind.REMEMBERED, ListKind.REFUSED):
             self.actions.append(Subscribe())
         if event.kind is not ListKind.CHANGES and event.kind is not ListKind.REFUSED:
-            self.servers = {m.server: self.servers.get(m.server) or Server(m, self.start)
+            self.servers = {m.server: self.servers.get(m.server) or Server(m, self.start, self.since)
                             for m in event.members}
         for m in event.members:
             known = self.servers.get(m.server)
             if known is None or m.started_at > known.born:
                 # A new start: cold, and nothing known of it.
-                known = self.servers[m.server] = Server(m, self.start)
+                known = self.servers[m.server] = Server(m, self.start, self.since)
             known.me = m if self.s.weights_told else replace(m, weight=UNTOLD[m.role])
         # Boxes are replaced all day long: those that are gone must not add up.
         self.servers = {name: s for name, s in self.servers.items() if s.me.state is not State.GONE}
@@ -297,21 +301,15 @@
         # What others have at a cache is a guess, which a jam of fills multiplies: a width learned so is none.
         alone = self.seats < 2 and server.me.role is Role.EDGE
         weight = max(server.me.weight, self.narrow / 2 if alone else 0.0)
-        can = MARGIN * weight * (rule.share + (1 - rule.share) * max(0.0, age) / rule.ramp)
-        burst, sharers = (rule.factor - 1) * can * rule.span, self.seats
+        can, sharers = ability(rule, weight, age), self.seats
+        most = burst(rule, can)
         if server.me.role is Role.PARENT:
-            # Split over all, no share pays for a request. So locations of its hub join in an order that all
-            # know, as the burst grows to one request (about an aim) for each of their gateways.
-            unit, sharers, mine = max(c.aim for c in self.s.classes), 0.0, False
-            for mate in self._order(f"{server.me.server}@{server.me.started_at}", self.mates):
-                if sharers and burst < unit * (sharers + mate.me.weight):
-                    break
-                sharers, mine = sharers + mate.me.weight, mine or mate.me.zone == self.s.location
-            if not mine or server not in self.rings[0]:
+            unit = max(c.aim for c in self.s.classes)  # about one request
+            order = self._order(f"{server.me.server}@{server.me.started_at}", self.mates)
+            sharers = joined(most, unit, ((m.me.zone, m.me.weight) for m in order), self.s.location)
+            if not sharers or server not in self.rings[0]:
                 return 0.0
-        server.tokens = min(server.tokens + (now - server.stamp) * can / sharers, burst / sharers)
-        server.stamp = now
-        return server.tokens
+        return server.tokens.fill(now, can / sharers, most / sharers)
 
     def _accuse(self, server: Server, weight: float, now: float) -> None:
         """Blame a server; enough of it without a success between takes it out until a trial succeeds."""
@@ -332,7 +330,7 @@
         server.blame, server.seen = server.blame / 2, now
         if server.down:
             if server.gap > 2 * self.s.connect_timeout:
-                server.born, server.stamp, server.tokens = now, now, 0.0
+                server.born, server.tokens = now, Tokens(now)
             server.down, server.gap, server.blame, server.trial = 0.0, 0.0, 0.0, False
 
     def _arrive(self, ask: Arrival, now: float) -> None:
@@ -387,7 +385,7 @@
             if server.down:
                 server.trial = server in (edge, source)
             if self._cold_room(server, now) < math.inf:
-                server.tokens -= self._cold_cost(server, request)
+                server.tokens.work -= self._cold_cost(server, request)
         number, request.sent, request.out = request.sent, request.sent + 1, request.out + 1
         fill = (1 if request.missed or edge is source else self.misses) if source else 0.0
         self.attempts[(request.ask.request, number)] = Attempt(edge, source, asked, now, fill, held)
@@ -468,7 +466,7 @@
                 self._learn(request, event.wait)
             if source and source is not edge:
                 if event.note is Note.HIT and request:
-                    source.tokens += self._cold_cost(source, request)  # it was not asked
+                    source.tokens.work += self._cold_cost(source, request)  # it was not asked
                 self.misses += ((1 if filled else 0) - self.misses) / 64
                 if filled:
                     self._clear(source, now)
--- /dev/null
+++ b/frostsail/cold.py
@@ -0,0 +1,54 @@
+"""Cold budgets: what all gateways together may send a server that started lately, with no word between them.
+
+Pure: times are handed in, in Unix seconds; work is in transfer-seconds, a server's weight in transfers. The
+rule is the platform's fourth (a cold server that is sent more than `factor` times what it can do, for `span`
+seconds, falls over): a bucket of tokens holds what may come at once and fills as fast as the server works.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from frostsail.interface import ColdStart
+
+MARGIN = 0.85  # part of a cold budget that is used: weights and sizes are known roughly
+
+
+def ability(rule: ColdStart, weight: float, age: float) -> float:
+    """Transfers that a server of this age (seconds) surely bears: at the slowest it warms in a line."""
+    return MARGIN * weight * (rule.share + (1 - rule.share) * max(0.0, age) / rule.ramp)
+
+
+def burst(rule: ColdStart, can: float) -> float:
+    """Work that may come at once, on top of what is worked off meanwhile."""
+    return (rule.factor - 1) * can * rule.span
+
+
+def joined(room: float, unit: float, mates: Iterable[tuple[str, float]], zone: str) -> float:
+    """By how many gateways a burst is shared now; 0: those of this zone have not joined yet.
+
+    Split over all, no share pays for a request. So zones join in the order of `mates` (zone, gateways), which
+    all work out alike, as the burst grows to one request (`unit`, of work) for each of their gateways.
+    """
+    sharers, mine = 0.0, False
+    for name, gateways in mates:
+        if sharers and room < unit * (sharers + gateways):
+            break
+        sharers, mine = sharers + gateways, mine or name == zone
+    return sharers if mine else 0.0
+
+
+class Tokens:
+    """One gateway's share of one server's budget."""
+
+    __slots__ = ("work", "stamp")
+
+    def __init__(self, since: float) -> None:
+        """Empty at a Unix time."""
+        self.work, self.stamp = 0.0, since
+
+    def fill(self, now: float, rate: float, most: float) -> float:
+        """The work that may be sent now, having filled at a rate (work a second) up to a bound."""
+        self.work = min(self.work + max(0.0, now - self.stamp) * rate, most)
+        self.stamp = now
+        return self.work
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -51,9 +51,10 @@
 class Rig:
     """A Router, and the events that its tests send it."""
 
-    def __init__(self, fleet: list[Member] | None = None, seed: int = 1, **changes: Any) -> None:
+    def __init__(self, fleet: list[Member] | None = None, seed: int = 1, now: float = 0.0,
+                 **changes: Any) -> None:
         self.router = Router(settings(**changes), seed)
-        self.now = 0.0
+        self.now = now
         self.ids = itertools.count()
         self.tell(members() if fleet is None else fleet, ListKind.REMEMBERED)
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import random
 import time
 from collections.abc import Callable
 from typing import Any
@@ -15,6 +16,8 @@
 from brackenlane.net.changelog import ChangeLog
 from brackenlane.net.depots import Depots
 from brackenlane.timers import Timer, Timers
+from frostsail.interface import Fetch, ListKind, Member, Note, Role
+from tests.rig import VIDEO, Rig, every, members, settings
 
 
 class Clock(Timers):
@@ -119,3 +122,93 @@
     before = clock.rung
     clock.run_to(clock.now + 1)
     assert clock.rung - before >= 0.8 / limits.watch
+
+
+LOCATIONS = [f"site-{n}" for n in range(33)]
+PARENTS = 12
+
+
+class Fleet:
+    """Two hundred gateways in thirty-three locations of one hub: four caches each, twelve parents for all."""
+
+    def __init__(self, cold: float, uneven: bool, shares: bool = True) -> None:
+        self.random = random.Random(5)
+        self.shares = shares
+        self.seats = [6] * 31 + [7, 7]
+        homes = [place for place, n in zip(LOCATIONS, self.seats, strict=True) for _ in range(n)]
+        self.load = [self.random.uniform(0.3, 3.0) if uneven else 1.0 for _ in homes]
+        started = {f"{place}/{n}": 100 + self.random.uniform(0, 7) for place in LOCATIONS for n in range(4)}
+        started |= {f"parent-{n}": 100 + self.random.uniform(0, 7) for n in range(PARENTS)}
+        names = sorted(started)
+        chosen = set(self.random.sample(names, int(cold * len(names))) if cold else ["site-0/0", "parent-3"])
+        self.started = {name: at for name, at in started.items() if name in chosen}
+        self.parents = [self._member(f"parent-{n}", "hub-a", Role.PARENT) for n in range(PARENTS)]
+        self.now = 100.0
+        self.rigs = [self._start(place, seed) for seed, place in enumerate(homes)]
+        self.spent: dict[str, list[float]] = {name: [] for name in chosen}
+
+    def _member(self, name: str, zone: str, role: Role) -> Member:
+        return Member(name, zone, role, started_at=self.started.get(name, 0.0))
+
+    def _start(self, place: str, seed: int) -> Rig:
+        rig = Rig([], seed, self.now, location=place, locations=("hub-a", *LOCATIONS), hub_of=(0,) * 34,
+                  gateways=sum(self.seats), seats=(0, *self.seats), weights_told=False, classes=(VIDEO,))
+        rig.tell([*(self._member(f"{place}/{n}", place, Role.EDGE) for n in range(4)), *self.parents,
+                  Member("origin", "hub-a", Role.ORIGIN)], ListKind.REMEMBERED)
+        if not self.shares:  # the fault that the check must find
+            rig.router.seats, rig.router.mates = 1.0, rig.router.mates[:1]
+            rig.router.mates[0].me = Member("", place, weight=1.0)
+        return rig
+
+    def run(self, until: float, rate: float = 500.0) -> str:
+        """Requests at this rate; the first server that is sent more than the rule allows."""
+        while self.now < until:
+            self.now += self.random.expovariate(rate)
+            [rig] = self.random.choices(self.rigs, self.load)
+            rig.now = self.now
+            for fetch in every(rig.ask(f"o{self.random.randrange(9999)}"), Fetch):
+                rig.end(fetch, note=Note.FILLED)
+                for name in {fetch.server, fetch.source} & self.spent.keys():
+                    if self.now >= self.started[name]:
+                        self.spent[name].append(self.now)
+                        if self._over(name):
+                            return name
+        return ""
+
+    def _over(self, name: str) -> bool:
+        edge = "/" in name
+        rule, weight = (EDGE_COLD, 4.0) if edge else (PARENT_COLD, 10.0)
+        share = rule.share + (1 - rule.share) * min(1.0, (self.now - self.started[name]) / rule.ramp)
+        recent = sum(0.4 for at in self.spent[name] if at > self.now - rule.span)
+        return share < 1 and recent > rule.factor * weight * share * rule.span
+
+
+EDGE_COLD, PARENT_COLD = settings().edge_cold, settings().parent_cold
+
+
+@pytest.mark.parametrize("uneven", [False, True])
+@pytest.mark.parametrize("cold", [0.0, 0.6])
+def test_what_is_cold_is_neither_pushed_over_nor_left_idle(cold: float, uneven: bool) -> None:
+    """One cache and one parent cold, or six in ten; equal loads, or some gateways with ten times others'."""
+    fleet = Fleet(cold, uneven)
+    assert fleet.run(118.0) == ""
+    assert all(fleet.spent.values())
+
+
+def test_the_check_finds_gateways_that_take_no_share() -> None:
+    """The fault planted: each takes the whole budget for its own."""
+    assert Fleet(0.6, False, shares=False).run(118.0)
+
+
+def test_gateways_that_come_back_do_not_spend_a_cold_budget_twice() -> None:
+    """All are killed just after a new cache was told of: they forget what they sent it, and it does not."""
+    spent, cold = 0.0, Member("edge-0", "depot", started_at=100.0)
+    for start, now in ((90.0, 104.0), (104.3, 104.4)):
+        for seed in range(6):
+            rig = Rig(members()[1:], seed, start, gateways=6, seats=(0, 0, 0, 6), weights_told=False)
+            rig.now = now
+            rig.tell([cold])
+            for n in range(20):
+                spent += 0.4 * (rig.serve(f"o{n}").server == "edge-0")
+    rule = EDGE_COLD
+    assert 0 < spent <= rule.factor * 4.0 * (rule.share + (1 - rule.share) * 4.3 / rule.ramp) * rule.span
--- a/tests/test_weights.py
+++ b/tests/test_weights.py
@@ -5,7 +5,7 @@
 import pytest
 
 from frostsail import drill
-from frostsail.brain import MARGIN
+from frostsail.cold import MARGIN, Tokens
 from frostsail.interface import Effect, Fetch, Member, Note, Outcome, RequestClass, Role, Verdict
 from tests.rig import TILES, VIDEO, Rig, every, only
 from tests.stand_ins import SETTINGS
@@ -63,7 +63,7 @@
         rig.router.handle(Outcome(fetch.request, 0, "edge-0", Verdict.OK, 0.2, True, Note.HIT, size_kb=800.0),
                           rig.now)
     cold, plain = rig.router.servers["edge-1"], 4.0 * MARGIN * (0.18 + 0.82 * 10 / 18)
-    cold.stamp, cold.tokens = 0.0, 0.0
+    cold.tokens = Tokens(0.0)
     room = rig.router._cold_room(cold, rig.now)
     assert room == pytest.approx(3 * plain * (5.0 if learned else 1.0))
 
