Let the ladder's ratio grow with the parents of a hub, so that few of twelve fetch one object

Seen: at ratio 2 the share of the top rung of twelve is a half, so a hundred requests for an object reach seven parents, and each that lacks it asks the origin. A hub of three stops at three. At fault: RATIO for all sizes of a hub, Router._source. The design leaves r open; 2 stays up to three parents, then it grows by 2/3 a parent (8 for twelve), by the list: a hundred requests reach 3 parents. Test fails without it.

--- a/frostsail/brain.py
+++ b/frostsail/brain.py
@@ -20,7 +20,7 @@
     Wake, Withdrawn,
 )
 
-RATIO = 2.0  # r of the ladder: each rung is drawn this many times as often as the one below
+RATIO, FEW = 2.0, 3  # r of the ladder: each rung is drawn so many times as often as the one below; up to few
 ORIGIN_CAP = 1 / 20  # the origin's share of the draw, at most
 WIDEST = 3  # caches that a hot object is spread over, at most
 HOT = 1 / 8  # of a cache's link, wanted by one object: spread it over one cache more
@@ -274,7 +274,10 @@
         full = not request.cls.uncached and any(not s.down for ring in self.rings for s in ring)
         if request.cls.uncached or not rungs:
             return None if full else origin or (rungs[-1] if rungs else None)
-        chances = [RATIO**i for i in range(1, len(rungs) + 1)]
+        # Requests for an object reach log r of them, and each reached asks the origin for it: r grows with
+        # the parents of a hub, so that those reached don't.
+        ratio = max(RATIO, RATIO * max(map(len, self.rings)) / FEW)
+        chances = [ratio**i for i in range(1, len(rungs) + 1)]
         share = min(ORIGIN_CAP, 1 / (1 + sum(chances)))
         # Copies without a fresh time never expire together, so their fills stay with the parents.
         if origin and request.cls.fresh and self.random.random() < share:
--- a/tests/test_ladder.py
+++ b/tests/test_ladder.py
@@ -31,6 +31,17 @@
     assert sorted(n / DRAWS for n in seen.values()) == pytest.approx(shares, abs=0.03)
 
 
+@pytest.mark.parametrize(("parents", "reached"), [(3, 3.0), (12, 3.3)])
+def test_parents_that_an_object_reaches_do_not_grow_with_the_hub(parents: int, reached: float) -> None:
+    """Each of them asks the origin for it: a hundred requests reached seven of twelve."""
+    rig = Rig(members(parents=("hub-a",) * parents))
+    seen = 0
+    for n in range(40):
+        rig.now += 1.0
+        seen += len({rig.serve(f"o{n}", note=Note.FILLED).source for _ in range(100)})
+    assert seen / 40 <= reached
+
+
 def test_origin_is_capped_below_its_rung_and_left_out_without_a_fresh_time() -> None:
     seen = draw(Rig(members(parents=("hub-a", "hub-a"))), "video")
     assert "origin" not in seen
