--- a/brackenlane/limits.py
+++ b/brackenlane/limits.py
@@ -15,6 +15,7 @@
     head: int = 16_384  # request line and headers
     upload: int = 48_000  # body of a write
     clients: int = 400  # connections at once; of the 1,024 descriptors the boxes need the rest
+    refused: int = 16  # more, told so while all have work in hand; what comes then is closed unread
     submits: int = 20_000  # ids of writes remembered, so that none runs twice
     first_request: float = 2.5  # from the connection to the end of its first request
     client_idle: float = 5.0  # without an open request; the platform's clients go after 4 s
--- a/brackenlane/net/clients.py
+++ b/brackenlane/net/clients.py
@@ -182,20 +182,26 @@
 
     def _admit(self, sock: socket.socket) -> None:
         """Serve one more connection."""
-        if self._count >= self._limits.clients:
+        full = self._count >= self._limits.clients
+        if full:
             # Guards our descriptors: who never asked gives way, then who is idle, then who is slow to ask.
             spare = (there for waits in (Waits.BYE, Waits.FIRST, Waits.NEXT, Waits.REST)
                      for there in self._waiting[waits])
-            if (client := next(spare, None)) is None:
+            if there := next(spare, None):
+                there.close()
+                full = False
+            elif self._count >= self._limits.clients + self._limits.refused:
                 self.figures.refuse(Reason.FULL)
                 return sock.close()
-            client.close()
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._count += 1
         client = Client(self, sock, self._limits)
         self.board.add(sock.fileno(), client.ready)
         client.wait(Waits.FIRST)
+        if full:  # told so: a connection closed unread tells its client nothing
+            self.figures.refuse(Reason.FULL)
+            client.shut_out()
 
     def closed(self, client: Client) -> None:
         """A connection has ended."""
@@ -468,6 +474,11 @@
             self._close = not reading.keep_alive
             self.answer(word_answer(Answer(Ending.REFUSED, hold_off=self._door.admission.hold_off(now))))
 
+    def shut_out(self) -> None:
+        """There is no room for this connection: refuse what it will ask, and end it."""
+        self._close = True
+        self.answer(word_answer(Answer(Ending.REFUSED, hold_off=self._limits.retry_after)))
+
     def _turn_away(self) -> None:
         self._room, self._close = self._limits.head, False
         self._send(self._door.refusal)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import functools
 import signal
 import socket
 import subprocess
@@ -211,6 +212,22 @@
         nursery.cancel_scope.cancel()
 
 
+@with_trio
+async def test_no_connection_free(tmp_path: Path) -> None:
+    """With work in hand on every connection that descriptors allow, one more is refused, not closed."""
+    async with trio.open_nursery() as nursery:
+        boxes = [await Box(f"s-0000000{n}", answer=lambda asked: None).open(nursery) for n in range(1, 7)]
+        async with platform(tmp_path, boxes, sockets=64) as doorman, trio.open_nursery() as clients:
+            for n in range(25):
+                clients.start_soon(functools.partial(doorman.ask, obj=f"{n:016x}", ttl=5000))
+            while len({asked.id for box in boxes for asked in box.asked}) < 25:
+                await trio.sleep(0.01)
+            status, headers, _ = await doorman.ask()
+            assert status == 503 and headers["connection"] == "close"
+            clients.cancel_scope.cancel()
+        nursery.cancel_scope.cancel()
+
+
 @with_trio
 async def test_client_leaves(tmp_path: Path) -> None:
     """A client that leaves takes its work back from the box."""
