--- a/brackenlane/net/depots.py
+++ b/brackenlane/net/depots.py
@@ -465,6 +465,7 @@
         now = time.time()
         # Guards against holding our own slowness against the boxes: what we could not read is not silence.
         lag = max(0.0, now - due)
+        self._idle = False  # guards against a second chain of looks, should one below place an attempt
         for peer in self._peers.values():
             peer.watch(now, lag)
         self._gone = [peer for peer in self._gone if peer.watch(now, lag)]
