Open a door for operators: status, true figures, boxes taken out by hand

Change: brackenlane/ops: a listener of its own on the board's urgent side, bounded in callers and time; counts where an ending is worded and an attempt is whole; boxes taken out are laid over the log's list, cold once back. Without ops in the configuration or environment nothing listens.

--- a/brackenlane/__main__.py
+++ b/brackenlane/__main__.py
@@ -19,7 +19,10 @@
 from brackenlane.net.clients import Door
 from brackenlane.net.depots import Depots
 from brackenlane.net.listing import ListError, read_known
-from brackenlane.service import Signals, serve_until_told
+from brackenlane.ops.counts import Counts
+from brackenlane.ops.door import OpsDoor
+from brackenlane.ops.operators import Operators
+from brackenlane.service import Signals, listen_plain, serve_until_told
 
 log = logging.getLogger(__name__)
 
@@ -31,15 +34,22 @@
             core = Core(config.settings, config.seed, limits, lambda attempt: depots.place(attempt),
                         flow=config.flow, copies=_own_copies(config, limits))
             core.timers.first = board.hear
-            depots = Depots(core.fleet, limits, config.settings, core.report, board, core.timers)
-            changes = ChangeLog(config.changelog, config.site, limits, depots, core.post, board,
+            counts = Counts(c.name for c in config.settings.classes)
+            depots = Depots(core.fleet, limits, config.settings, core.report, board, core.timers,
+                            counts.tried)
+            door = Door(core, limits, board, counts=counts)
+            operators = Operators(core, door, limits)
+            if config.ops:
+                OpsDoor(board, core.timers, limits, lambda: door.serves, operators.figures,
+                        operators.order).open(listen_plain(config.ops))
+            changes = ChangeLog(config.changelog, config.site, limits, depots, operators.hear, board,
                                 core.timers, config.seed)
             nursery.start_soon(core.run)
             nursery.start_soon(board.run)
             changes.start(read_known(config.known, config.site, time.time()),
                           int(config.known.get("seq", 0)))
             nursery.start_soon(_reload, hangups, config, changes)
-            await serve_until_told(Door(core, limits, board), config.listen, config.name, limits)
+            await serve_until_told(door, config.listen, config.name, limits)
             nursery.cancel_scope.cancel()
 
 
@@ -56,11 +66,11 @@
     while True:
         await hangups.next()
         try:
-            new = load(os.environ.get("GW_CONFIG"))
+            new = load(os.environ.get("GW_CONFIG"), os.environ.get("GW_OPS", ""))
         except ConfigError as fault:
             log.warning("SIGHUP: the old configuration stays in force: %s", " ".join(str(fault).split()))
             continue
-        fixed = ("name", "listen", "settings", "sockets")
+        fixed = ("name", "listen", "ops", "settings", "sockets")
         if told := [name for name in fixed if getattr(new, name) != getattr(config, name)]:
             log.warning("SIGHUP: taken in at the next start only: %s", ", ".join(told))
         changes.move(new.changelog)
@@ -77,7 +87,7 @@
     try:
         match words:
             case []:
-                config = load(os.environ.get("GW_CONFIG"))
+                config = load(os.environ.get("GW_CONFIG"), os.environ.get("GW_OPS", ""))
                 trio.run(serve, config, Limits().within(config.sockets).suited(config.settings))
             case _:
                 from brackenlane.cli.main import run  # the platform's doorman needs none of it
--- a/brackenlane/config.py
+++ b/brackenlane/config.py
@@ -43,6 +43,7 @@
     memory_mb: float = 192.0
     flow: float = 0.0  # bytes a second of one transfer at the most, 0: not told
     link: float = 0.0  # of all our own transfers together
+    ops: Endpoint | None = None  # where operators call, if told
 
 
 def read_endpoint(text: object, what: str) -> Endpoint:
@@ -69,8 +70,8 @@
         raise ConfigError(f"settings: {fault}") from None
 
 
-def parse(text: bytes) -> Config:
-    """The configuration from its JSON text."""
+def parse(text: bytes, ops: str = "") -> Config:
+    """The configuration from its JSON text; ops: the operators' address, where the text names none."""
     try:
         raw = orjson.loads(text)
     except orjson.JSONDecodeError as fault:
@@ -95,7 +96,8 @@
     return Config(str(raw["name"]), read_endpoint(raw["listen"], "listen"), settings, site, seed,
                   read_endpoint(log, "changelog") if log else None, known, int(sockets),
                   _read_number(limits, "memory_mb", 192, 1),
-                  _read_number(raw, "flow_bytes_per_s", 0), _read_number(raw, "link_bytes_per_s", 0))
+                  _read_number(raw, "flow_bytes_per_s", 0), _read_number(raw, "link_bytes_per_s", 0),
+                  read_endpoint(ops, "ops") if (ops := raw.get("ops") or ops) else None)
 
 
 def _read_number(raw: dict[str, Any], name: str, absent: float, least: float = 0) -> float:
@@ -106,11 +108,11 @@
     return value
 
 
-def load(path: str | None) -> Config:
-    """The configuration from its file."""
+def load(path: str | None, ops: str = "") -> Config:
+    """The configuration from its file; ops: as `parse` takes it."""
     if not path:
         raise ConfigError("GW_CONFIG: names no file")
     try:
-        return parse(Path(path).read_bytes())
+        return parse(Path(path).read_bytes(), ops)
     except OSError as fault:
         raise ConfigError(f"GW_CONFIG: {path}: {fault.strerror}") from None
--- a/brackenlane/core.py
+++ b/brackenlane/core.py
@@ -136,6 +136,11 @@
         """Requests without a final answer."""
         return sum(not ask.over for ask in self._asks.values())
 
+    @property
+    def avoided(self) -> set[str]:
+        """Servers that the module leaves alone for now."""
+        return {name for name, server in self._router.servers.items() if server.down}
+
     @property
     def has_copies(self) -> bool:
         """Whether there may be copies of our own."""
--- a/brackenlane/limits.py
+++ b/brackenlane/limits.py
@@ -28,6 +28,12 @@
     answer_slack: float = 0.05  # past a client's time, within which an answer still counts
     retry_after: int = 1  # whole seconds, on a refusal for which the module names no time
 
+    # Operators
+    ops_head: int = 4_096  # of a call, and of what may follow it
+    ops_calls: int = 16  # callers at once; who comes then takes the place of who has waited longest
+    ops_time: float = 5.0  # from a caller's connection to its end
+    taken_out: int = 1_024  # boxes taken out by hand at once; one more gets a no
+
     # Cache boxes
     object_size: int = 240_000  # the largest body of an answer
     line: int = 2_048  # the longest line of an answer
--- a/brackenlane/net/clients.py
+++ b/brackenlane/net/clients.py
@@ -24,6 +24,7 @@
 from brackenlane.limits import Limits
 from brackenlane.net.board import READ, WRITE, Board
 from brackenlane.net.http import CONTINUE, BadRequest, Headers, Reading, Requests, encode_answer, read_plain
+from brackenlane.ops.counts import Counts
 from frostsail.interface import Arrival, Effect, RequestClass
 
 log = logging.getLogger(__name__)
@@ -31,6 +32,7 @@
 TARGET = re.compile(r"/api/v2/([^/?#]{1,64})/([0-9a-f]{16})/n-(0|[1-9]\d{0,8})", re.ASCII)
 TXN = re.compile(r"[0-9a-fA-F]{16}")
 TAG = re.compile(r'(?:W/)?"([\w.:-]{1,64})"', re.ASCII)  # goes into a line to a box
+ASKED = re.compile(rb"(?:GET|PUT) /api/v2/([^/?#]{1,64})/")  # how a request for a class begins
 HEALTHY = "/-/healthy"
 Worded = tuple[int, Headers, bytes]
 REFUSED = b"refused, nothing ran: try again\n"
@@ -125,10 +127,11 @@
     """All client connections of one doorman."""
 
     def __init__(self, core: Core, limits: Limits, board: Board, claims: Claims | None = None,
-                 nursery: trio.Nursery | None = None) -> None:
+                 nursery: trio.Nursery | None = None, counts: Counts | None = None) -> None:
         self._core, self._limits, self.board = core, limits, board
         self._claims, self._nursery = claims, nursery
         self._classes = {c.name: c for c in core.settings.classes}
+        self.counts = counts or Counts(self._classes)
         self._txns: set[str] = set()  # in hand
         self._submits: OrderedDict[str, None] = OrderedDict()  # of writes that may have run, oldest first
         # Connections by what they wait for, the longest so first, and until when they may
@@ -176,6 +179,17 @@
                 continue  # it has gone again
             self._admit(sock)
 
+    @property
+    def active(self) -> int:
+        """Requests taken and not yet ended: who has none waits for a request, its rest, or the end."""
+        return self._count - sum(len(self._waiting[waits]) for waits in (
+            Waits.FIRST, Waits.NEXT, Waits.REST, Waits.BYE))
+
+    @property
+    def serves(self) -> bool:
+        """Whether clients are accepted and would be served."""
+        return bool(self._listeners) and self._core.fleet.told and not self.closing
+
     def _resume(self, listener: socket.socket) -> None:
         if listener in self._listeners:
             self.board.want(listener.fileno(), READ)
@@ -372,6 +386,8 @@
         self._raw = b""  # what waits at the door, unread but for its target:
         self._plain = ""
         self._lane: tuple[str, bool] | None = None  # where it waits: class, and whether it is a retry
+        self._cls = ""  # of the request in hand, as its target tells
+        self._unasked = False  # refused before it asked: counted as its request is seen
         self._rest = memoryview(b"")  # of an answer written in part
         self._room = 0  # bytes that may still come while they are not asked for
         self._close = False  # after this answer
@@ -422,6 +438,9 @@
         if not data:
             return self.close()  # left: nothing is owed
         if self._waits is Waits.BYE:
+            if self._unasked and (found := ASKED.match(data)):
+                self._unasked = False
+                self._door.counts.ended(found[1].decode(), HTTPStatus.SERVICE_UNAVAILABLE)
             self._room -= len(data)
             return self.close() if self._room <= 0 else None
         if self._waits in (Waits.NOT, Waits.TAKE):
@@ -436,6 +455,7 @@
             target, again = plain
             if self._door.refuses(target, again) and not self._door.closing:
                 self._door.figures.refuse(Reason.STOOD)
+                self._cls = lane_of(target)
                 return self._turn_away()
             self._raw, self._plain = data, target  # read no further until it is served
             return self._queue(target, again)
@@ -445,7 +465,8 @@
     def _queue(self, target: str, again: bool) -> None:
         self._room = self._limits.head
         self.wait(Waits.NOT)
-        self._lane = lane_of(target), again
+        self._cls = lane_of(target)
+        self._lane = self._cls, again
         self._door.admission.offer(self, *self._lane, self._door.board.polled)
 
     def serve(self, since: float) -> None:
@@ -476,11 +497,12 @@
 
     def shut_out(self) -> None:
         """There is no room for this connection: refuse what it will ask, and end it."""
-        self._close = True
+        self._close = self._unasked = True
         self.answer(word_answer(Answer(Ending.REFUSED, hold_off=self._limits.retry_after)))
 
     def _turn_away(self) -> None:
         self._room, self._close = self._limits.head, False
+        self._door.counts.ended(self._cls, HTTPStatus.SERVICE_UNAVAILABLE)
         self._send(self._door.refusal)
         if self.open:
             self.wait(Waits.TAKE if self._rest else Waits.NEXT)
@@ -514,6 +536,8 @@
         if not self.open:
             return
         status, headers, body = worded
+        self._door.counts.ended(self._cls, status)
+        self._cls = ""
         self._close |= self._door.closing
         self._send(encode_answer(status, headers, body, self._close), body)
         if self.open and self._rest:
--- a/brackenlane/net/depots.py
+++ b/brackenlane/net/depots.py
@@ -23,6 +23,7 @@
 log = logging.getLogger(__name__)
 
 Report = Callable[[Attempt, Reply], None]
+Tried = Callable[[str], None]  # told the class of each attempt that is written whole
 NEVER_SENT = Reply(Verdict.NEVER_SENT)
 
 
@@ -67,8 +68,8 @@
     """One connection to a box: answers arrive in any order."""
 
     def __init__(self, sock: socket.socket, board: Board, fleet: Fleet, limits: Limits,
-                 may_probe: bool) -> None:
-        self._sock, self._board = sock, board
+                 may_probe: bool, tried: Tried) -> None:
+        self._sock, self._board, self._tried = sock, board, tried
         self._fleet, self._limits, self._may_probe = fleet, limits, may_probe
         self._parser = boxwire.Parser(limits)
         self._heard = time.time()  # when bytes came last, or the first of what is open was written
@@ -78,6 +79,7 @@
         self._given_up: OrderedDict[str, None] = OrderedDict()
         self._out: deque[Slot | bytes] = deque()
         self._rest = memoryview(b"")  # of what has been written in part
+        self._whole: Slot | None = None  # the attempt that is, once the rest is out
         self.open = True
         board.add(sock.fileno(), self._ready, READ, urgent=True)
 
@@ -181,15 +183,23 @@
                     item = self._out.popleft()
                     if isinstance(item, Slot):
                         self._rest = self._write(item)
+                        self._written()
                         continue
                     self._rest = memoryview(item)
                 self._rest = self._rest[self._sock.send(self._rest):]
+                self._written()
         except BlockingIOError:
             self._stuck = time.time()
             self._board.want(self._sock.fileno(), READ | WRITE)
         except OSError:
             self.close()
 
+    def _written(self) -> None:
+        """Count an attempt as its last byte is taken."""
+        if self._whole and not self._rest:
+            self._tried(self._whole.attempt.ask.arrival.cls)
+            self._whole = None
+
     def _write(self, slot: Slot) -> memoryview:
         """Begin to write an attempt; what the connection did not take of it."""
         data = self._prepare(slot)
@@ -207,7 +217,7 @@
         slot.sent = time.time()
         if not any(other.attempt.written for other in self._waiting.values()):
             self._heard = slot.sent
-        attempt.written = True
+        attempt.written, self._whole = True, slot
         return memoryview(data)[sent:]
 
     def _prepare(self, slot: Slot) -> bytes:
@@ -298,8 +308,9 @@
     """The actor of one box: it performs attempts, as they are posted, on connections of its own."""
 
     def __init__(self, server: str, endpoint: Endpoint, fleet: Fleet, limits: Limits, settings: Settings,
-                 report: Report, board: Board, timers: Timers) -> None:
+                 report: Report, board: Board, timers: Timers, tried: Tried) -> None:
         self.server, self.endpoint, self.board, self.timers = server, endpoint, board, timers
+        self._tried = tried
         self._fleet, self._limits, self._report = fleet, limits, report
         self.connect_timeout, self._may_probe = settings.connect_timeout, settings.may_probe
         self._links: list[Link] = []
@@ -387,7 +398,8 @@
             sock.close()
         elif sock:
             self._links = [*(at for at in self._links if at.open),
-                           Link(sock, self.board, self._fleet, self._limits, self._may_probe)]
+                           Link(sock, self.board, self._fleet, self._limits, self._may_probe,
+                                self._tried)]
         for slot in waiting:
             wait = time.time() - slot.attempt.started
             if sock is None:
@@ -418,7 +430,8 @@
     """The actors of all boxes on the list, by id: a new box may have a gone one's address."""
 
     def __init__(self, fleet: Fleet, limits: Limits, settings: Settings, report: Report, board: Board,
-                 timers: Timers) -> None:
+                 timers: Timers, tried: Tried = lambda _: None) -> None:
+        self._tried = tried
         self._fleet, self._limits, self._report = fleet, limits, report
         self._board, self._timers, self._settings = board, timers, settings
         self._endpoints: dict[str, Endpoint] = {}
@@ -438,7 +451,8 @@
             if server not in self._endpoints:
                 return False
             peer = self._peers[server] = Peer(server, self._endpoints[server], self._fleet, self._limits,
-                                              self._settings, self._report, self._board, self._timers)
+                                              self._settings, self._report, self._board, self._timers,
+                                              self._tried)
         if self._idle:
             self._idle = False
             self._look.cancel()
--- /dev/null
+++ b/brackenlane/ops/counts.py
@@ -0,0 +1,71 @@
+"""What became of requests, counted since this process started, and all figures as text.
+
+Pure. The text is the Prometheus exposition format, version 0.0.4: a line for each sample, `# TYPE` before
+each name.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+REFUSED = (429, 503)  # tell a client that trying again is harmless
+
+
+@dataclass(slots=True)
+class Kind:
+    """Counts of one class: requests served, refused and failed; attempts written whole to boxes."""
+
+    ok: int = 0
+    shed: int = 0
+    errors: int = 0
+    tries: int = 0
+
+
+class Counts:
+    """Counts by class. What asks for no class that we know is counted nowhere: it is nobody's request."""
+
+    def __init__(self, classes: Iterable[str]) -> None:
+        self.kinds = {name: Kind() for name in classes}
+
+    def ended(self, cls: str, status: int) -> None:
+        """A request of a class (any other name is passed over) got its final answer, by its HTTP status."""
+        if kind := self.kinds.get(cls):
+            if status in (200, 304):
+                kind.ok += 1
+            elif status in REFUSED:
+                kind.shed += 1
+            else:
+                kind.errors += 1
+
+    def tried(self, cls: str) -> None:
+        """An attempt for a request of a class was written whole to a box."""
+        if kind := self.kinds.get(cls):
+            kind.tries += 1
+
+
+@dataclass(slots=True, frozen=True)
+class Gauges:
+    """What stands at this moment."""
+
+    active: int = 0  # requests taken and not yet ended
+    pool_size: int = 0  # boxes on the list, parents and origin among them
+    pool_ejected: int = 0  # of these, avoided by hand or by choice
+
+
+def expose(counts: Counts, gauges: Gauges) -> bytes:
+    """All figures as text."""
+    lines: list[str] = []
+    for name in ("ok", "shed", "errors", "tries"):
+        lines.append(f"# TYPE gw_{name} counter")
+        lines += [f'gw_{name}{{kind="{_escape(cls)}"}} {getattr(kind, name)}'
+                  for cls, kind in counts.kinds.items()]
+    for name in ("active", "pool_size", "pool_ejected"):
+        lines += [f"# TYPE gw_{name} gauge", f"gw_{name} {getattr(gauges, name)}"]
+    return ("\n".join(lines) + "\n").encode()
+
+
+def _escape(value: str) -> str:
+    """A label's value: backslash, quote and line feed are escaped."""
+    return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
--- /dev/null
+++ b/brackenlane/ops/door.py
@@ -0,0 +1,164 @@
+"""The actor at the operators' address: one HTTP call to each connection, answered as soon as it is read.
+
+A few callers at once, each for a short time; who has waited longest without a call gives way to who comes. It
+stands before all clients' work on the board and asks nothing of the core's mailbox.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import logging
+import re
+import socket
+import time
+from collections.abc import Callable
+from dataclasses import replace
+
+from brackenlane.limits import Limits
+from brackenlane.net.board import READ, WRITE, Board
+from brackenlane.net.http import Headers, Reading, Requests, encode_answer
+from brackenlane.ops.counts import CONTENT_TYPE
+from brackenlane.timers import Timers
+
+log = logging.getLogger(__name__)
+
+ORDER = re.compile(r"/maintenance/(enter|exit)/([\w.:-]{1,64})", re.ASCII)
+Worded = tuple[int, Headers, bytes]
+
+
+class OpsDoor:
+    """All callers at the operators' address.
+
+    ready: whether this process can serve; figures: all of them as text; order: takes a box out (True) or lets
+    it serve again, and gives the status and a line to say.
+    """
+
+    def __init__(self, board: Board, timers: Timers, limits: Limits, ready: Callable[[], bool],
+                 figures: Callable[[], bytes], order: Callable[[str, bool], tuple[int, str]]) -> None:
+        self.board, self._timers, self._limits = board, timers, limits
+        self._ready, self._figures, self._order = ready, figures, order
+        self.call_limits = replace(limits, head=limits.ops_head, upload=limits.ops_head)
+        self._callers: dict[Caller, float] = {}  # who came first is first; until when each may stay
+        self._listener: socket.socket | None = None
+
+    def open(self, listener: socket.socket) -> None:
+        """Take calls from now on."""
+        self._listener = listener
+        self.board.add(listener.fileno(), self._accept, urgent=True)
+        self._watch()
+
+    def shut(self) -> None:
+        """Take no more calls, and end those that are unfinished."""
+        if self._listener:
+            self.board.remove(self._listener.fileno())
+            self._listener.close()
+            self._listener = None
+        for caller in list(self._callers):
+            caller.close()
+
+    def _accept(self, _: int) -> None:
+        assert self._listener is not None
+        for _ in range(self._limits.ops_calls):
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                return  # none waits, or there is no descriptor: the next round asks again
+            if len(self._callers) >= self._limits.ops_calls:
+                # Guards against callers who connect and finish no call: the oldest gives way.
+                next((c for c in self._callers if c.answered), next(iter(self._callers))).close()
+            sock.setblocking(False)
+            caller = Caller(self, sock)
+            self._callers[caller] = time.time() + self._limits.ops_time
+            self.board.add(sock.fileno(), caller.ready, urgent=True)
+
+    def gone(self, caller: Caller) -> None:
+        """A connection has ended."""
+        self._callers.pop(caller, None)
+
+    def _watch(self) -> None:
+        now = time.time()
+        for caller in [c for c, until in self._callers.items() if until < now]:
+            caller.close()
+        if self._listener:
+            self._timers.at(now + self._limits.ops_time / 4, self._watch)
+
+    def answer(self, call: Reading) -> Worded:
+        """What one call gets."""
+        found = ORDER.fullmatch(call.target)
+        wants = "PUT" if found else "GET" if call.target in ("/status", "/status/metrics") else ""
+        if not wants:
+            return 404, {}, b"no such call\n"
+        if call.method != wants:
+            return 405, {"Allow": wants}, f"this takes {wants}\n".encode()
+        if found:
+            status, line = self._order(found[2], found[1] == "enter")
+            log.info("operators: %s %s: %d %s", found[1], found[2], status, line)
+            return status, {"Content-Type": "text/plain"}, f"{line}\n".encode()
+        if call.target == "/status":
+            if self._ready():
+                return 200, {"Content-Type": "text/plain"}, b"serving\n"
+            return 503, {"Content-Type": "text/plain"}, b"not serving\n"
+        return 200, {"Content-Type": CONTENT_TYPE}, self._figures()
+
+
+class Caller:
+    """One connection: one call."""
+
+    def __init__(self, door: OpsDoor, sock: socket.socket) -> None:
+        self._door, self._sock = door, sock
+        self._requests = Requests(door.call_limits)
+        self._rest = memoryview(b"")
+        self._room = door.call_limits.head  # bytes that may still come once it is answered
+        self.answered = False
+        self._open = True
+
+    def close(self) -> None:
+        """End the connection."""
+        if self._open:
+            self._open = False
+            self._door.board.remove(self._sock.fileno())
+            self._sock.close()
+            self._door.gone(self)
+
+    def ready(self, events: int) -> None:
+        """The socket is ready."""
+        try:
+            if events & WRITE:
+                self._flush()
+            if self._open and events & ~WRITE:
+                self._receive()
+        except OSError:
+            self.close()
+        except Exception:  # one caller must not end the others
+            log.exception("an operator's call failed")
+            self.close()
+
+    def _receive(self) -> None:
+        try:
+            data = self._sock.recv(4_096)
+        except BlockingIOError:
+            return
+        if not data:
+            return self.close()
+        if self.answered:  # read on, so that the answer is not lost to a reset
+            self._room -= len(data)
+            return self.close() if self._room < 0 else None
+        self._requests.feed(data)
+        if call := self._requests.next():
+            self._answer(*self._door.answer(call), call.method == "HEAD")
+        elif fault := self._requests.fault:
+            self._answer(fault.status.value, fault.headers, f"{fault}\n".encode())
+
+    def _answer(self, status: int, headers: Headers, body: bytes, bare: bool = False) -> None:
+        self.answered = True
+        self._rest = memoryview(encode_answer(status, headers, body, True) + (b"" if bare else body))
+        self._flush()
+
+    def _flush(self) -> None:
+        with contextlib.suppress(BlockingIOError):
+            self._rest = self._rest[self._sock.send(self._rest):]
+        if self._rest:
+            self._door.board.want(self._sock.fileno(), READ | WRITE)
+        elif self.answered:
+            self._door.board.want(self._sock.fileno(), READ)
+            self._sock.shutdown(socket.SHUT_WR)
--- /dev/null
+++ b/brackenlane/ops/maintenance.py
@@ -0,0 +1,75 @@
+"""Boxes taken out by hand, laid over whatever the change log says of them.
+
+Pure: lists in, lists out. A box that is out is told to the core as draining, so every rule on drains holds
+for it; whatever the log says meanwhile is noted and told once it may serve again.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from enum import Enum
+
+from frostsail.interface import ListKind, Member, Membership, State
+
+
+class Reply(Enum):
+    """What came of a call."""
+
+    DONE = "done"
+    UNKNOWN = "unknown"  # no box of this name is listed, and none is out
+    FULL = "full"  # as many are out as may be
+
+
+class Maintenance:
+    """The list as the log tells it, and who is out of it by hand."""
+
+    def __init__(self, most: int) -> None:
+        """At most so many boxes are out at once."""
+        self._most = most
+        self.listed: dict[str, Member] = {}  # as told by the log, gone ones left out
+        self.out: dict[str, float] = {}  # by id: the Unix time from which it is out
+
+    def hear(self, event: Membership) -> Membership:
+        """A list of the log's, as the core may hear it."""
+        if event.kind is not ListKind.CHANGES:
+            self.listed = {}
+        for member in event.members:
+            if member.state is State.GONE:
+                self.listed.pop(member.server, None)
+            else:
+                self.listed[member.server] = member
+        if not self.out:
+            return event
+        return Membership(event.kind, tuple(self._masked(member) for member in event.members))
+
+    def enter(self, server: str, now: float) -> tuple[Reply, Membership | None]:
+        """Take a box out; told again, nothing changes. The list that makes it so, if any must be told."""
+        if server in self.out:
+            return Reply.DONE, None
+        member = self.listed.get(server)
+        if member is None:
+            return Reply.UNKNOWN, None
+        if len(self.out) >= self._most:
+            return Reply.FULL, None
+        self.out[server] = now
+        return Reply.DONE, Membership(ListKind.CHANGES, (self._masked(member),))
+
+    def leave(self, server: str, now: float) -> tuple[Reply, Membership | None]:
+        """Let a box serve again, however often it was taken out.
+
+        Guards a box that was restarted while it was out, of which the log (late) does not tell yet: unless it
+        has told of a start since, the box counts as started now, so as cold.
+        """
+        since = self.out.pop(server, None)
+        member = self.listed.get(server)
+        if since is None:
+            return (Reply.DONE if member else Reply.UNKNOWN), None
+        if member is None:  # not listed at the moment: when it comes back, the log tells of its start
+            return Reply.DONE, None
+        started = member.started_at if member.started_at >= since else now
+        return Reply.DONE, Membership(ListKind.CHANGES, (replace(member, started_at=started),))
+
+    def _masked(self, member: Member) -> Member:
+        if member.server in self.out and member.state is State.SERVING:
+            return replace(member, state=State.DRAINING)
+        return member
--- a/brackenlane/service.py
+++ b/brackenlane/service.py
@@ -14,6 +14,7 @@
 from brackenlane.limits import Limits
 from brackenlane.net.board import Board
 from brackenlane.net.clients import Door
+from brackenlane.net.depots import family_of
 
 log = logging.getLogger(__name__)
 
@@ -26,6 +27,20 @@
         raise ConfigError(f"cannot listen on {endpoint[0]}:{endpoint[1]}: {fault.strerror}") from None
 
 
+def listen_plain(endpoint: Endpoint) -> socket.socket:
+    """A listening socket for the board, on one address."""
+    sock = socket.socket(family_of(endpoint))
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(endpoint)
+        sock.listen(1_024)
+    except OSError as fault:
+        sock.close()
+        raise ConfigError(f"cannot listen on {endpoint[0]}:{endpoint[1]}: {fault.strerror}") from None
+    sock.setblocking(False)
+    return sock
+
+
 class Signals:
     """Signals by a socket on the board: a board that waits itself does not hear trio's own way of telling."""
 
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -175,7 +175,8 @@
 @contextlib.asynccontextmanager
 async def platform(tmp_path: Path, boxes: list[Box], log: Log | None = None,
                    purged: list[dict[str, Any]] | None = None, sockets: int = 1024,
-                   probe: bool = False, flow: float = 0.0, **more: str) -> AsyncIterator[Program]:
+                   probe: bool = False, flow: float = 0.0, ops: int = 0,
+                   **more: str) -> AsyncIterator[Program]:
     """The program on the platform, with a list in its configuration."""
     port = free_port()
     known = [{"seq": 1, "fleet": {"rev": 1, "all": True, "targets": [target(box) for box in boxes]}}]
@@ -186,6 +187,8 @@
               "flow_bytes_per_s": flow, "link_bytes_per_s": 4 * flow}
     if log:
         config["changelog"] = f"127.0.0.1:{log.port}"
+    if ops:
+        config["ops"] = f"127.0.0.1:{ops}"
     path = tmp_path / "config.json"
     path.write_bytes(orjson.dumps(config))
     async with program(port, GW_CONFIG=str(path), **more) as running:
--- /dev/null
+++ b/tests/test_ops.py
@@ -0,0 +1,210 @@
+"""The operators' address: the real program, its callers, and counts made at client and box."""
+
+from __future__ import annotations
+
+import re
+import socket
+import time
+from pathlib import Path
+
+import pytest
+import trio
+
+from brackenlane.ops.counts import Counts, Gauges, expose
+from brackenlane.ops.maintenance import Maintenance, Reply
+from frostsail.interface import ListKind, Member, Membership, State
+from tests.stand_ins import Asked, Box, Log, data, free_port, platform, record, with_trio
+from tests.stand_ins import Reply as BoxReply
+
+EDGE, OTHER, ORIGIN = "s-00000001", "s-00000002", "s-00000009"
+
+
+async def call(port: int, path: str, method: str = "GET", raw: bytes = b"") -> tuple[int, str]:
+    """One call: status and body."""
+    async with await trio.open_tcp_stream("127.0.0.1", port) as stream:
+        await stream.send_all(raw or f"{method} {path} HTTP/1.1\r\nHost: ops\r\n\r\n".encode())
+        got = b""
+        while more := await stream.receive_some(65_536):
+            got += more
+    head, _, body = got.partition(b"\r\n\r\n")
+    return int(head.split()[1]), body.decode()
+
+
+async def figures(port: int) -> dict[str, float]:
+    """All samples by name and labels."""
+    status, text = await call(port, "/status/metrics")
+    assert status == 200
+    return {line.rpartition(" ")[0]: float(line.rpartition(" ")[2])
+            for line in text.splitlines() if not line.startswith("#")}
+
+
+def test_text_format() -> None:
+    """Each line is a sample or a type, names and labels as the published format has them, quotes escaped."""
+    counts = Counts(['a"b\\c\nd', "pages"])
+    counts.ended("pages", 200)
+    counts.ended("pages", 304)
+    counts.ended("nobody's", 200)
+    text = expose(counts, Gauges(14, 9, 1)).decode()
+    sample = re.compile(r'[a-z_]+(\{kind="(\\["\\n]|[^"\\\n])*"\})? \d+')
+    kinds = re.compile(r"# TYPE [a-z_]+ (counter|gauge)")
+    assert text.endswith("\n") and all(kinds.fullmatch(line) or sample.fullmatch(line)
+                                       for line in text.splitlines())
+    assert 'gw_ok{kind="pages"} 2\n' in text and "gw_active 14\n" in text
+    assert r'gw_ok{kind="a\"b\\c\nd"} 0' in text
+
+
+def test_maintenance_over_lists() -> None:
+    """A box that is out stays so through every list; once back, it counts as cold unless the log told so."""
+    known = Maintenance(most=1)
+    box, other = Member("a", "z", started_at=5.0), Member("b", "z")
+
+    def told(event: Membership | None) -> list[tuple[str, State, float]]:
+        assert event is not None
+        return [(m.server, m.state, m.started_at) for m in event.members]
+
+    assert known.enter("a", 10.0) == (Reply.UNKNOWN, None)
+    known.hear(Membership(ListKind.FULL, (box, other)))
+    assert told(known.enter("a", 10.0)[1]) == [("a", State.DRAINING, 5.0)]
+    assert known.enter("a", 11.0) == (Reply.DONE, None)
+    assert known.enter("b", 11.0) == (Reply.FULL, None)
+    for kind in (ListKind.CHANGES, ListKind.FULL):
+        assert told(known.hear(Membership(kind, (box, other)))) == [
+            ("a", State.DRAINING, 5.0), ("b", State.SERVING, 0.0)]
+    assert told(known.leave("a", 20.0)[1]) == [("a", State.SERVING, 20.0)]  # no start told since: cold
+    assert known.leave("a", 21.0) == (Reply.DONE, None)
+    assert known.leave("c", 21.0) == (Reply.UNKNOWN, None)
+    known.enter("a", 30.0)
+    known.hear(Membership(ListKind.CHANGES, (Member("a", "z", state=State.GONE),)))
+    assert known.leave("a", 31.0) == (Reply.DONE, None)
+    known.hear(Membership(ListKind.CHANGES, (box,)))
+    known.enter("a", 40.0)
+    known.hear(Membership(ListKind.CHANGES, (Member("a", "z", started_at=44.0),)))
+    assert told(known.leave("a", 50.0)[1]) == [("a", State.SERVING, 44.0)]
+
+
+@pytest.mark.parametrize(("raw", "status"), [
+    (b"GET /status HTTP/1.1\r\nHost: o\r\n\r\n", 200),
+    (b"PUT /status HTTP/1.1\r\nHost: o\r\n\r\n", 405),
+    (b"GET /maintenance/enter/" + EDGE.encode() + b" HTTP/1.1\r\nHost: o\r\n\r\n", 405),
+    (b"PUT /maintenance/enter/s-0000000f HTTP/1.1\r\nHost: o\r\n\r\n", 404),
+    (b"PUT /maintenance/exit/s-0000000f HTTP/1.1\r\nHost: o\r\n\r\n", 404),
+    (b"PUT /maintenance/enter/%2e%2e HTTP/1.1\r\nHost: o\r\n\r\n", 404),
+    (b"PUT /maintenance/enter/\xff\xfe HTTP/1.1\r\nHost: o\r\n\r\n", 400),
+    (b"GET /" + b"x" * 9_000 + b" HTTP/1.1\r\nHost: o\r\n\r\n", 431),
+    (b"\x00\x01\r\n\r\n", 400),
+])
+@with_trio
+async def test_calls(tmp_path: Path, raw: bytes, status: int) -> None:
+    """Each call gets its answer; what can't be read or is not known changes nothing."""
+    async with trio.open_nursery() as nursery:
+        boxes = [await box.open(nursery) for box in (Box(EDGE), Box(ORIGIN, "origin"))]
+        ops = free_port()
+        async with platform(tmp_path, boxes, ops=ops) as doorman:
+            found, _ = await call(ops, "", raw=raw)
+            assert found == status or (status >= 400 and 400 <= found < 500 and b"\xff" in raw)
+            assert (await figures(ops))["gw_pool_ejected"] == 0
+            assert (await doorman.ask())[0] == 200
+        nursery.cancel_scope.cancel()
+
+
+@with_trio
+async def test_callers_who_finish_nothing(tmp_path: Path) -> None:
+    """More callers than may stand there, idle or half-way, and a caller that calls is answered at once."""
+    async with trio.open_nursery() as nursery:
+        boxes = [await box.open(nursery) for box in (Box(EDGE), Box(ORIGIN, "origin"))]
+        ops = free_port()
+        async with platform(tmp_path, boxes, ops=ops):
+            idle = [await trio.open_tcp_stream("127.0.0.1", ops) for _ in range(40)]
+            for stream in idle[::2]:
+                await stream.send_all(b"GET /status HT")
+            with trio.fail_after(5):
+                for _ in range(20):
+                    assert (await call(ops, "/status"))[0] == 200
+            for stream in idle:
+                await stream.aclose()
+        nursery.cancel_scope.cancel()
+
+
+@with_trio
+async def test_true_figures(tmp_path: Path) -> None:
+    """Every way a request may end is counted as its client saw it, each attempt as its box did."""
+    ways: dict[str, BoxReply] = {
+        "00000000000000a0": b"%b absent - 0\r\n\r\n", "00000000000000a1": b"%b failed - 0\r\n\r\n",
+        "00000000000000a2": b"%b full - 0\r\n\r\n", "00000000000000a3": None}
+
+    def answer(asked: Asked) -> BoxReply:
+        worded = ways.get(asked.fields["path"], b"")
+        if asked.fields["path"] == "00000000000000a4":
+            return data(asked, b"", "unchanged")
+        return data(asked) if worded == b"" else worded and worded % asked.id.encode()
+
+    async with trio.open_nursery() as nursery:
+        boxes = [await box.open(nursery) for box in (Box(EDGE, answer=answer),
+                                                     Box(ORIGIN, "origin", answer=answer))]
+        ops = free_port()
+        async with platform(tmp_path, boxes, ops=ops) as doorman:
+            seen = {(name, cls): 0 for name in ("ok", "shed", "errors")
+                    for cls in ("video-parts", "sheet-pages", "sheet-submit")}
+
+            async def ask(cls: str, obj: str, **headers: str) -> None:
+                found = (await doorman.ask(cls, obj, b"signed" * (cls == "sheet-submit"), 600, **headers))[0]
+                ending = "ok" if found in (200, 304) else "shed" if found in (429, 503) else "errors"
+                seen[ending, cls] += 1
+
+            for n in range(5):
+                for cls in ("video-parts", "sheet-pages", "sheet-submit"):
+                    await ask(cls, f"00000000000000a{n}", If_None_Match='"e1"')
+            await ask("video-parts", "00000000000000b0", X_Second_Try="7")  # malformed, of a class
+            await doorman.ask("no-such-class")
+            with socket.create_connection(("127.0.0.1", doorman.port)) as gone:  # a client that leaves
+                gone.send(b"GET /api/v2/sheet-pages/00000000000000a3/n-1 HTTP/1.1\r\nHost: o\r\nX-Txn: "
+                          b"9b1f03aa5c7e2d41\r\nX-Ttl-Ms: 9000\r\nX-Shard: 1\r\n\r\n")
+                before = len(boxes[0].asked)
+                await boxes[0].until(lambda: len(boxes[0].asked) > before)
+                assert (await figures(ops))["gw_active"] == 1
+            now = await figures(ops)
+            while now["gw_active"]:
+                now = await figures(ops)
+            assert {(n, c): now[f'gw_{n}{{kind="{c}"}}'] for n, c in seen} == seen
+            for cls in ("video-parts", "sheet-pages", "sheet-submit"):
+                written = sum(a.fields["queue"] == cls for box in boxes for a in box.asked)
+                assert now[f'gw_tries{{kind="{cls}"}}'] == written > 0
+            assert now["gw_pool_size"] == 2
+        nursery.cancel_scope.cancel()
+
+
+@with_trio
+async def test_box_taken_out(tmp_path: Path) -> None:
+    """From the yes on nothing goes to it, whatever the log says; one call back undoes two."""
+    async with trio.open_nursery() as nursery:
+        log = await Log().open(nursery)
+        edge, other, origin = [await box.open(nursery) for box in (
+            Box(EDGE), Box(OTHER), Box(ORIGIN, "origin"))]
+        ops = free_port()
+        async with platform(tmp_path, [edge, other, origin], log, ops=ops) as doorman:
+            async def ask_all() -> None:
+                for n in range(12):
+                    assert (await doorman.ask(obj=f"{n:016x}"))[0] == 200
+
+            await ask_all()
+            assert edge.asked
+            for _ in range(2):
+                assert (await call(ops, f"/maintenance/enter/{EDGE}", "PUT"))[0] == 200
+            before = len(edge.asked)
+            await ask_all()
+            await log.tell(2, 2, record(edge, 1))
+            await log.tell(3, 2, record(edge, 0))
+            await log.tell(4, 1, record(edge, 0) + record(other, 0) + record(origin, 0))
+            await log.cut()
+            await ask_all()
+            assert len(edge.asked) == before
+            assert not [a for a in (*other.asked, *origin.asked) if a.fields.get("miss") == EDGE]
+            now = await figures(ops)
+            assert (now["gw_pool_size"], now["gw_pool_ejected"]) == (3, 1)
+            assert (await call(ops, f"/maintenance/exit/{EDGE}", "PUT"))[0] == 200
+            end = time.monotonic() + 5
+            while len(edge.asked) == before:
+                assert time.monotonic() < end
+                await ask_all()
+            assert (await figures(ops))["gw_pool_ejected"] == 0
+        nursery.cancel_scope.cancel()
