Let a new process take over in service: shared address, steered, one ledger for both

Need: 'node n0 crashed: exited with 2' (cannot listen, address in use), requests cut off at every replacing. Change: SO_REUSEPORT and a steering program on the clients' address where operators have one; a ledger in TMPDIR for orders, submits and who serves; succession gives each process its part of places, cold boxes and copies; after SIGTERM what is left gets its answer before the platform's SIGKILL.

--- a/brackenlane/__main__.py
+++ b/brackenlane/__main__.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 import time
+from pathlib import Path
 
 import trio
 
@@ -21,6 +22,7 @@
 from brackenlane.net.listing import ListError, read_known
 from brackenlane.ops.counts import Counts
 from brackenlane.ops.door import OpsDoor
+from brackenlane.ops.ledger import Ledger, LedgerError
 from brackenlane.ops.operators import Operators
 from brackenlane.service import Signals, listen_plain, serve_until_told
 
@@ -38,7 +40,7 @@
             depots = Depots(core.fleet, limits, config.settings, core.report, board, core.timers,
                             counts.tried)
             door = Door(core, limits, board, counts=counts)
-            operators = Operators(core, door, limits)
+            operators = Operators(core, door, limits, _ledger(config, limits) if config.ops else None)
             if config.ops:
                 OpsDoor(board, core.timers, limits, lambda: door.serves, operators.figures,
                         operators.order).open(listen_plain(config.ops))
@@ -49,10 +51,25 @@
             changes.start(read_known(config.known, config.site, time.time()),
                           int(config.known.get("seq", 0)))
             nursery.start_soon(_reload, hangups, config, changes)
-            await serve_until_told(door, config.listen, config.name, limits)
+            await serve_until_told(door, config.listen, config.name, limits,
+                                   (lambda: operators.beside) if config.ops else None, operators.serving)
             nursery.cancel_scope.cancel()
 
 
+def _ledger(config: Config, limits: Limits) -> Ledger | None:
+    """What this doorman's processes share, in `$TMPDIR`; without it each knows its own orders alone."""
+    folder = os.environ.get("TMPDIR")
+    if not folder:
+        log.warning("TMPDIR is not set: orders and submits are not known to the next process")
+        return None
+    host, port = config.listen
+    try:
+        return Ledger(Path(folder) / f"brackenlane.{host}.{port}", limits)
+    except LedgerError as fault:
+        log.warning("orders and submits are not known to the next process: %s", fault)
+        return None
+
+
 def _own_copies(config: Config, limits: Limits) -> Copies | None:
     """Copies of our own, where we are told what our link bears."""
     if not config.flow or not config.link:
@@ -88,7 +105,8 @@
         match words:
             case []:
                 config = load(os.environ.get("GW_CONFIG"), os.environ.get("GW_OPS", ""))
-                trio.run(serve, config, Limits().within(config.sockets).suited(config.settings))
+                trio.run(serve, config, Limits().within(config.sockets).suited(config.settings)
+                         .before_killed())
             case _:
                 from brackenlane.cli.main import run  # the platform's doorman needs none of it
 
--- a/brackenlane/copies.py
+++ b/brackenlane/copies.py
@@ -22,7 +22,8 @@
     """Bounded in bytes; what was used longest ago goes first."""
 
     def __init__(self, settings: Settings, room: float, flow: float, link: float, slack: float) -> None:
-        self._room, self._flow, self._link, self._slack = room, flow, link, slack
+        self.most = self._room = room
+        self._flow, self._link, self._slack = flow, link, slack
         self._classes = {c.name: c for c in settings.classes if not c.uncached}
         self._kept: OrderedDict[tuple[str, str], Copy] = OrderedDict()
         self._bytes = 0.0
@@ -40,6 +41,12 @@
         while self._bytes > self._room:
             self._drop(next(iter(self._kept)))
 
+    def allow(self, room: float) -> None:
+        """Keep no more bytes than so many from now on."""
+        self._room = room
+        while self._bytes > self._room:
+            self._drop(next(iter(self._kept)))
+
     def holds(self, cls: str, copy: str) -> bool:
         """Whether there is one; whether it may be served is `find`'s to say."""
         return (cls, copy) in self._kept
--- a/brackenlane/core.py
+++ b/brackenlane/core.py
@@ -23,6 +23,7 @@
 from brackenlane.limits import Limits
 from brackenlane.timers import Timer, Timers
 from frostsail import Router
+from frostsail.cold import Tokens
 from frostsail.interface import (
     Action, Arrival, Cancel, Effect, Event, Fail, Fetch, Membership, Note, Outcome, Purged, Refuse,
     SetTimer, Settings, Verdict, Wake, Withdrawn,
@@ -141,6 +142,25 @@
         """Servers that the module leaves alone for now."""
         return {name for name, server in self._router.servers.items() if server.down}
 
+    def spend_cold(self, now: float) -> None:
+        """Count all cold budgets as spent up to now: another process may have used them."""
+        for server in self._router.servers.values():
+            server.tokens = Tokens(now)
+
+    def keep_copies(self, part: float) -> None:
+        """Keep copies of our own in this part of their room from now on."""
+        if self._copies:
+            self._copies.allow(part * self._copies.most)
+
+    def end_all(self) -> None:
+        """Answer all that is in hand now: refused where that does no harm, else failed."""
+        for name in [name for name, ask in self._asks.items() if not ask.over]:
+            ask = self._asks[name]
+            safe = self.effects.get(ask.arrival.cls) is Effect.SAFE or not ask.may_have_run
+            self._end(name, Answer(Ending.REFUSED, hold_off=self.limits.retry_after) if safe
+                      else Answer(Ending.FAILED))
+            self.post(Withdrawn(name))
+
     @property
     def has_copies(self) -> bool:
         """Whether there may be copies of our own."""
--- a/brackenlane/fleet.py
+++ b/brackenlane/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 
 from frostsail.interface import Arrival, Fetch, ListKind, Member, Membership, Purged, Settings, State
 
@@ -14,6 +15,7 @@
         self.members: dict[str, Member] = {}
         self.purges: dict[str | int, float] = {}  # by object (text) or group (number): Unix time
         self.told = False  # whether a list has come
+        self.news: Callable[[], None] = lambda: None  # asked before each look: takes in what others were told
         self._keep = 2 * settings.purge_done
         self._tick = settings.tick
         self._bounds = {c.name: c.fresh + c.grace for c in settings.classes if c.fresh}
@@ -45,6 +47,7 @@
 
         The rule leaves 500 ms after the news; nothing here needs them, so none are used.
         """
+        self.news()
         return self.serving(fetch.server) and self.serving(fetch.source)
 
     def max_age(self, fetch: Fetch, ask: Arrival, now: float) -> float:
--- a/brackenlane/limits.py
+++ b/brackenlane/limits.py
@@ -34,6 +34,15 @@
     ops_time: float = 5.0  # from a caller's connection to its end
     taken_out: int = 1_024  # boxes taken out by hand at once; one more gets a no
 
+    # Ledger of the processes of one doorman
+    ledger: int = 2_097_152  # past it no submit is claimed, so none runs; of a foreign one no more is read
+    ledger_orders: int = 65_536  # more, for all but submits
+    ledger_tidy: int = 524_288  # from which it is rewritten, while no other process lives
+    ledger_line: int = 256  # the longest record
+    ledger_wait: float = 1.0  # at a start, for another process that starts
+    ledger_look: float = 0.2  # between two looks at who lives
+    claims: int = 4_000  # submits remembered there: a quarter of an hour of them at 4 a second
+
     # Cache boxes
     object_size: int = 240_000  # the largest body of an answer
     line: int = 2_048  # the longest line of an answer
@@ -74,6 +83,8 @@
     # SIGTERM
     leaving: float = 0.8  # goes on taking what comes
     last_answers: float = 6.5  # then finishes what it has, at most
+    parting_words: float = 0.1  # then, for telling those left that they are not served
+    killed: float = 3.7  # after SIGTERM, the platform may end us by force (longest deadlines count as 3 s)
 
     # DNS front
     dns_query: float = 2.0  # for each query, from its arrival to its answer
@@ -117,3 +128,8 @@
         quiet = min(aim * max(1.0, settings.probe_price / self.quiet_price), mute)
         return replace(self, quiet=quiet, pulse=min(aim, settings.connect_timeout), mute=mute,
                        last_answers=max(c.give_up for c in settings.classes) + 0.5)
+
+    def before_killed(self) -> Limits:
+        """With the last answers given before the platform ends a process by force."""
+        left = self.killed - self.leaving - 2 * self.parting_words
+        return replace(self, last_answers=min(self.last_answers, left))
--- a/brackenlane/net/clients.py
+++ b/brackenlane/net/clients.py
@@ -4,13 +4,14 @@
 
 import errno
 import functools
+import itertools
 import logging
 import math
 import re
 import socket
 import time
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import replace
 from enum import Enum, IntEnum
 from http import HTTPStatus
@@ -140,7 +141,12 @@
                          limits.request_time, limits.linger]  # seconds, by what they wait for
         self._count = 0
         self._listeners: list[socket.socket] = []
-        self.closing = False  # answers end their connections
+        self.closing = False  # answers end their connections, and what is idle is closed
+        self.parting = False  # answers end their connections: their clients shall come back to a successor
+        self._places = limits.clients  # for connections
+        # Whether a submit may run here, and that one never ran, where other processes could have it too
+        self.claim: Callable[[str], Claim] = lambda _: Claim.OURS
+        self.release: Callable[[str], None] = lambda _: None
         self._empty = trio.Event()  # set when the last connection ends
         self.admission: Admission[Client] = Admission(core.settings.classes)
         self.figures = Figures()
@@ -160,6 +166,7 @@
     def shut(self) -> None:
         """Accept nobody more; those accepted are served on."""
         for listener in self._listeners:
+            self._accept(listener, 0)  # guards who has come since the last look: closing resets them
             self.board.remove(listener.fileno())
             listener.close()
         self._listeners.clear()
@@ -185,6 +192,11 @@
         return self._count - sum(len(self._waiting[waits]) for waits in (
             Waits.FIRST, Waits.NEXT, Waits.REST, Waits.BYE))
 
+    @property
+    def leaving(self) -> bool:
+        """Whether answers end their connections."""
+        return self.closing or self.parting
+
     @property
     def serves(self) -> bool:
         """Whether clients are accepted and would be served."""
@@ -196,15 +208,13 @@
 
     def _admit(self, sock: socket.socket) -> None:
         """Serve one more connection."""
-        full = self._count >= self._limits.clients
+        full = self._count >= self._places
         if full:
             # Guards our descriptors: who never asked gives way, then who is idle, then who is slow to ask.
-            spare = (there for waits in (Waits.BYE, Waits.FIRST, Waits.NEXT, Waits.REST)
-                     for there in self._waiting[waits])
-            if there := next(spare, None):
+            if there := next(self._spare(Waits.BYE, Waits.FIRST, Waits.NEXT, Waits.REST), None):
                 there.close()
                 full = False
-            elif self._count >= self._limits.clients + self._limits.refused:
+            elif self._count >= self._places + self._limits.refused:
                 self.figures.refuse(Reason.FULL)
                 return sock.close()
         sock.setblocking(False)
@@ -217,6 +227,17 @@
             self.figures.refuse(Reason.FULL)
             client.shut_out()
 
+    def _spare(self, *waiting: Waits) -> Iterator[Client]:
+        """Who has no request in hand, the first to give way first."""
+        return (there for waits in waiting for there in self._waiting[waits])
+
+    def stand(self, share: float, parting: bool) -> None:
+        """Hold this share of the places for connections; parting: send their clients to a successor."""
+        self._places, self.parting = max(1, int(self._limits.clients * share)), parting
+        idle = self._spare(Waits.BYE, Waits.FIRST, Waits.NEXT)
+        for there in list(itertools.islice(idle, max(0, self._count - self._places))):
+            there.retire()
+
     def closed(self, client: Client) -> None:
         """A connection has ended."""
         self._count -= 1
@@ -228,7 +249,11 @@
         self.closing = True
         for waits in (Waits.FIRST, Waits.NEXT):
             for client in list(self._waiting[waits]):
-                client.close()
+                client.retire()
+
+    def finish(self) -> None:
+        """Answer all that is in hand, unserved."""
+        self._core.end_all()
 
     async def emptied(self) -> None:
         """Wait until no connection is left."""
@@ -324,7 +349,11 @@
             return client.answer(word_answer(Answer(Ending.REFUSED, hold_off=self._limits.retry_after)))
         if left < ask.arrival.time_left - 0.001:
             ask.arrival = replace(ask.arrival, time_left=left)  # what it stood at our door is gone
-        if ask.wire_id in self._txns or ask.wire_id in self._submits:
+        claim = Claim.TAKEN if ask.wire_id in self._txns or ask.wire_id in self._submits else (
+            self.claim(ask.wire_id) if self._unsafe(ask) else Claim.OURS)
+        if claim is Claim.UNKNOWN:
+            return client.answer(word_answer(Answer(Ending.REFUSED, hold_off=self._limits.retry_after)))
+        if claim is Claim.TAKEN:
             raise BadRequest(HTTPStatus.CONFLICT, "this X-Txn has been taken already")
         self._txns.add(ask.wire_id)
         client.ask = ask
@@ -346,7 +375,9 @@
 
     def _over(self, ask: Ask, refused: bool) -> None:
         self._txns.discard(ask.wire_id)
-        if self._unsafe(ask) and not refused:  # guards against a submit that a client or proxy sends twice
+        if self._unsafe(ask) and refused:
+            self.release(ask.wire_id)
+        elif self._unsafe(ask):  # guards against a submit that a client or proxy sends twice
             self._submits[ask.wire_id] = None
             if len(self._submits) > self._limits.submits:
                 self._submits.popitem(last=False)
@@ -417,6 +448,13 @@
             ask, self.ask = self.ask, None
             self._door.withdraw(ask)
 
+    def retire(self) -> None:
+        """End an idle connection, unless a request has come meanwhile: then after its answer."""
+        if self._waits is not Waits.BYE:
+            self.ready(READ)
+        if self._waits in (Waits.FIRST, Waits.NEXT, Waits.BYE):
+            self.close()
+
     def ready(self, events: int) -> None:
         """The socket is ready."""
         try:
@@ -453,7 +491,7 @@
             return self.close() if self._room <= 0 else None
         if self._waits is not Waits.REST and (plain := read_plain(data)):
             target, again = plain
-            if self._door.refuses(target, again) and not self._door.closing:
+            if self._door.refuses(target, again) and not self._door.leaving:
                 self._door.figures.refuse(Reason.STOOD)
                 self._cls = lane_of(target)
                 return self._turn_away()
@@ -486,7 +524,7 @@
         if target and self._door.own(target):
             return self.serve(now)
         self._door.figures.refuse(Reason.STOOD)
-        if target and not self._door.closing:
+        if target and not self._door.leaving:
             self._raw, self._plain, self._lane = b"", "", None
             self._turn_away()
         elif (reading := self._read()) is None:
@@ -538,7 +576,7 @@
         status, headers, body = worded
         self._door.counts.ended(self._cls, status)
         self._cls = ""
-        self._close |= self._door.closing
+        self._close |= self._door.leaving
         self._send(encode_answer(status, headers, body, self._close), body)
         if self.open and self._rest:
             self.wait(Waits.TAKE)
--- a/brackenlane/ops/maintenance.py
+++ b/brackenlane/ops/maintenance.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import replace
 from enum import Enum
 
@@ -28,6 +29,7 @@
         self._most = most
         self.listed: dict[str, Member] = {}  # as told by the log, gone ones left out
         self.out: dict[str, float] = {}  # by id: the Unix time from which it is out
+        self._shaded: Callable[[Member], bool] = lambda _: False
 
     def hear(self, event: Membership) -> Membership:
         """A list of the log's, as the core may hear it."""
@@ -38,8 +40,6 @@
                 self.listed.pop(member.server, None)
             else:
                 self.listed[member.server] = member
-        if not self.out:
-            return event
         return Membership(event.kind, tuple(self._masked(member) for member in event.members))
 
     def enter(self, server: str, now: float) -> tuple[Reply, Membership | None]:
@@ -67,9 +67,15 @@
         if member is None:  # not listed at the moment: when it comes back, the log tells of its start
             return Reply.DONE, None
         started = member.started_at if member.started_at >= since else now
-        return Reply.DONE, Membership(ListKind.CHANGES, (replace(member, started_at=started),))
+        back = replace(member, started_at=started)
+        return Reply.DONE, Membership(ListKind.CHANGES, (self._masked(back),))
+
+    def shade(self, shaded: Callable[[Member], bool]) -> Membership:
+        """Leave alone, from now on, whatever box this says, as if it were out; the list that makes it so."""
+        self._shaded = shaded
+        return Membership(ListKind.CHANGES, tuple(self._masked(member) for member in self.listed.values()))
 
     def _masked(self, member: Member) -> Member:
-        if member.server in self.out and member.state is State.SERVING:
+        if member.state is State.SERVING and (member.server in self.out or self._shaded(member)):
             return replace(member, state=State.DRAINING)
         return member
--- a/brackenlane/ops/operators.py
+++ b/brackenlane/ops/operators.py
@@ -1,26 +1,47 @@
-"""What operators' calls come to: lists for the core, figures read from it. Nothing in here waits."""
+"""What operators' calls come to, and how this process stands to the others of its doorman.
+
+Lists for the core, figures read from it, what the ledger tells carried out. Nothing in here waits.
+"""
 
 from __future__ import annotations
 
+import logging
 import time
+from functools import partial
 
 from brackenlane.core import Core
 from brackenlane.limits import Limits
-from brackenlane.net.clients import Door
+from brackenlane.net.clients import Claim, Door
 from brackenlane.ops.counts import Gauges, expose
+from brackenlane.ops.ledger import Ledger, LedgerError
 from brackenlane.ops.maintenance import Maintenance, Reply
-from frostsail.interface import Event, Membership
+from brackenlane.ops.records import Kind, Record
+from brackenlane.ops.succession import Stand, stand
+from frostsail.interface import Event, Member, Membership, Role
+
+log = logging.getLogger(__name__)
 
 ANSWERS = {Reply.DONE: (200, "done"), Reply.UNKNOWN: (404, "no such box"),
            Reply.FULL: (507, "too many boxes are out")}
+NOT_KEPT = (507, "it can't be kept, so nothing is changed")
 
 
 class Operators:
     """Stands between the change log and the core, and answers the calls."""
 
-    def __init__(self, core: Core, door: Door, limits: Limits) -> None:
-        self._core, self._door = core, door
+    def __init__(self, core: Core, door: Door, limits: Limits, ledger: Ledger | None = None) -> None:
+        """Without a ledger, what is ordered is known to this process alone."""
+        self._core, self._door, self._limits, self._ledger = core, door, limits, ledger
         self._maintenance = Maintenance(limits.taken_out)
+        self._stand = Stand.ALONE
+        if ledger:
+            self._maintenance.out.update(ledger.book.out)
+            ledger.hear = self._heard
+            core.fleet.news = ledger.look
+            door.claim, door.release = partial(self._claim, ledger), partial(self._release, ledger)
+            self._tend(ledger)
+
+    # The change log, the calls
 
     def hear(self, event: Event) -> None:
         """An event of the change log's, to the core; boxes taken out by hand stay out."""
@@ -28,14 +49,112 @@
 
     def order(self, server: str, out: bool) -> tuple[int, str]:
         """Take a box out, or let it serve again. In force as this returns: status and line of the answer."""
+        now = time.time()
+        if self._ledger is None:
+            return self._carry_out(server, out, now)
+        known = server in self._maintenance.out
+        if known is out or (not known and server not in self._maintenance.listed):
+            return self._carry_out(server, out, now)  # nothing changes
+        if out and len(self._maintenance.out) >= self._limits.taken_out:
+            return ANSWERS[Reply.FULL]
+        try:
+            self._ledger.append(Kind.ENTER if out else Kind.EXIT, server, repr(now))
+        except LedgerError as fault:
+            log.error("an order can't be kept: %s", fault)
+            return NOT_KEPT
+        return ANSWERS[Reply.DONE]
+
+    def _carry_out(self, server: str, out: bool, now: float) -> tuple[int, str]:
         call = self._maintenance.enter if out else self._maintenance.leave
-        reply, event = call(server, time.time())
-        if event:
-            self._core.post(event)
+        reply, event = call(server, now)
+        self._tell(event)
         return ANSWERS[reply]
 
+    def _tell(self, event: Membership | None) -> None:
+        if event and event.members:
+            # At once, for what is being written now; the core may be in the middle of a decision.
+            self._core.fleet.hear(event, time.time())
+            self._core.post(event)
+
     def figures(self) -> bytes:
         """All figures as text."""
         listed, avoided = self._maintenance.listed, self._core.avoided
         ejected = sum(name in avoided or name in self._maintenance.out for name in listed)
         return expose(self._door.counts, Gauges(self._door.active, len(listed), ejected))
+
+    # The other processes of this doorman
+
+    @property
+    def beside(self) -> int:
+        """Earlier processes of this doorman that live."""
+        return len(self._ledger.others) if self._ledger else 0
+
+    def serving(self) -> None:
+        """This process serves clients from now on."""
+        if self._ledger:
+            try:
+                self._ledger.append(Kind.SERVES, self._ledger.me)
+            except LedgerError as fault:
+                log.error("others are not told that this process serves: %s", fault)
+
+    def _heard(self, record: Record) -> None:
+        match record.kind:
+            case Kind.ENTER | Kind.EXIT:
+                self._carry_out(record.words[0], record.kind is Kind.ENTER, record.at)
+            case Kind.BORN | Kind.SERVES:
+                self._restand()
+
+    def _tend(self, ledger: Ledger) -> None:
+        """Look after the ledger, and at who lives."""
+        try:
+            ledger.look()
+            ledger.tend()
+        except OSError as fault:
+            log.error("the ledger can't be read: %s", fault.strerror)
+        self._restand()
+        self._core.timers.at(time.time() + self._limits.ledger_look, self._tend, ledger)
+
+    def _restand(self) -> None:
+        """Take the stand that follows from who else lives and serves."""
+        assert self._ledger is not None
+        was, book = self._stand, self._ledger.book
+        alive = set(self._ledger.others)
+        for process in [p for p in book.serving if p not in alive and p != self._ledger.me]:
+            book.forget(process)
+        self._stand = stand(self._ledger.me, book.serving, alive)
+        if self._stand is was:
+            return
+        log.info("of the processes of this doorman, this one is %s (was %s)", self._stand.name, was.name)
+        duty, now = self._stand.value, time.time()
+        self._door.stand(duty.share, duty.parting)
+        self._core.keep_copies(1.0 if duty.cold else 0.0)
+        if duty.cold != was.value.cold:
+            # What a cold box bears is spent by the later process. Coming back to it, this one starts anew.
+            self._core.spend_cold(now)
+            self._tell(self._maintenance.shade(partial(self._cold, now) if not duty.cold else _none))
+
+    def _cold(self, now: float, member: Member) -> bool:
+        settings = self._core.settings
+        rule = settings.parent_cold if member.role is Role.PARENT else settings.edge_cold
+        started = member.started_at
+        return member.role is not Role.ORIGIN and started > 0 and now - started < rule.ramp
+
+    def _claim(self, ledger: Ledger, txn: str) -> Claim:
+        """Whether a submit may run here: the first to claim it in the ledger may."""
+        try:
+            ledger.append(Kind.CLAIM, txn, ledger.me)
+        except LedgerError as fault:
+            log.error("a submit is refused, since it can't be claimed: %s", fault)
+            return Claim.UNKNOWN
+        return Claim.OURS if ledger.book.submits.get(txn) == ledger.me else Claim.TAKEN
+
+    def _release(self, ledger: Ledger, txn: str) -> None:
+        """A submit provably never ran: its client may send it again."""
+        try:
+            ledger.append(Kind.RELEASE, txn)
+        except LedgerError as fault:
+            log.warning("a submit stays claimed: %s", fault)
+
+
+def _none(_: Member) -> bool:
+    return False
--- /dev/null
+++ b/brackenlane/ops/succession.py
@@ -0,0 +1,44 @@
+"""How a process stands to the others of its doorman. Pure.
+
+| this process | others that live | stand |
+| --- | --- | --- |
+| any | none | ALONE |
+| any | a later one that serves | RELIEVED |
+| any | a later one that does not serve yet | EXPECTING |
+| any | earlier ones alone | TAKING_OVER |
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Set
+from dataclasses import dataclass
+from enum import Enum
+
+
+@dataclass(slots=True, frozen=True)
+class Duty:
+    """What a process does in its stand."""
+
+    share: float  # of the clients' places
+    parting: bool  # answers ask clients to come back on a new connection, which the successor gets
+    cold: bool  # may send to boxes that started lately
+
+
+class Stand(Enum):
+    """The stands, each with its duty."""
+
+    ALONE = Duty(1.0, False, True)
+    EXPECTING = Duty(0.5, False, True)
+    TAKING_OVER = Duty(0.5, False, True)
+    RELIEVED = Duty(0.5, True, False)
+
+
+def stand(me: str, serving: Mapping[str, bool], alive: Set[str]) -> Stand:
+    """How `me` stands. serving: who serves, in the order of births; alive: who of them lives."""
+    order = list(serving)
+    later = [p for p in order[order.index(me) + 1:] if p in alive]
+    if any(serving[p] for p in later):
+        return Stand.RELIEVED
+    if later:
+        return Stand.EXPECTING
+    return Stand.TAKING_OVER if any(p in alive for p in order if p != me) else Stand.ALONE
--- a/brackenlane/service.py
+++ b/brackenlane/service.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import array
 import contextlib
 import logging
 import signal
 import socket
+import struct
+from collections.abc import Callable
 from typing import Any
 
 import trio
@@ -18,6 +21,9 @@
 
 log = logging.getLogger(__name__)
 
+SO_ATTACH_REUSEPORT_CBPF = 51  # asm-generic/socket.h
+BPF_RETURN = 0x06  # BPF_RET | BPF_K, linux/bpf_common.h
+
 
 async def listen(endpoint: Endpoint) -> list[trio.SocketListener]:
     """Listeners on one TCP address."""
@@ -27,13 +33,15 @@
         raise ConfigError(f"cannot listen on {endpoint[0]}:{endpoint[1]}: {fault.strerror}") from None
 
 
-def listen_plain(endpoint: Endpoint) -> socket.socket:
-    """A listening socket for the board, on one address."""
+def listen_plain(endpoint: Endpoint, shared: bool = False) -> socket.socket:
+    """A listening socket for the board, on one address; shared: with others of this user."""
     sock = socket.socket(family_of(endpoint))
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if shared:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         sock.bind(endpoint)
-        sock.listen(1_024)
+        sock.listen(4_096)
     except OSError as fault:
         sock.close()
         raise ConfigError(f"cannot listen on {endpoint[0]}:{endpoint[1]}: {fault.strerror}") from None
@@ -41,6 +49,20 @@
     return sock
 
 
+def steer(listener: socket.socket, place: int) -> None:
+    """Lead all new connections of a shared address to the listener at a place, in the order of their starts.
+
+    A program of one line, `return place`, for the kernel's choice within the group (socket(7),
+    SO_ATTACH_REUSEPORT_CBPF). Should that listener go, the place is empty and the kernel chooses by its hash.
+    """
+    line = array.array("B", struct.pack("=HBBI", BPF_RETURN, 0, 0, place))
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, SO_ATTACH_REUSEPORT_CBPF,
+                            struct.pack("@HP", 1, line.buffer_info()[0]))
+    except OSError as fault:  # then both are chosen by hash, until the earlier one leaves
+        log.warning("new connections are not steered: %s", fault.strerror)
+
+
 class Signals:
     """Signals by a socket on the board: a board that waits itself does not hear trio's own way of telling."""
 
@@ -79,21 +101,35 @@
             self._came.set()
 
 
-async def serve_until_told(door: Door, endpoint: Endpoint, name: str, limits: Limits) -> None:
+async def serve_until_told(door: Door, endpoint: Endpoint, name: str, limits: Limits,
+                           beside: Callable[[], int] | None = None,
+                           serving: Callable[[], None] = lambda: None) -> None:
     """Serve clients; after SIGTERM go on for a moment, then end once all that was taken is answered.
 
-    A second signal meanwhile does what it does by itself: it ends the program.
+    A second signal meanwhile does what it does by itself: it ends the program. `beside` tells how many
+    earlier processes of this doorman serve at the same address (None: none may); `serving` is called once it
+    serves.
     """
     with Signals(door.board, signal.SIGTERM, signal.SIGINT) as leave:
-        door.open([plain(listener) for listener in await listen(endpoint)])
+        if beside is None:
+            door.open([plain(listener) for listener in await listen(endpoint)])
+        else:
+            listener = listen_plain(endpoint, shared=True)
+            steer(listener, beside())
+            door.open([listener])
+        serving()
         log.info("%s serves on %s:%d", name, *endpoint)
         await leave.next()
     # New connections and requests keep coming for a moment, and all are owed an answer.
     await trio.sleep(limits.leaving)
     door.shut()
     door.leave()
-    with trio.move_on_after(limits.last_answers):
+    with trio.move_on_after(limits.last_answers) as late:
         await door.emptied()
+    if late.cancelled_caught:  # an answer now is better than none
+        door.finish()
+        with trio.move_on_after(limits.parting_words):
+            await door.emptied()
 
 
 def plain(listener: trio.SocketListener) -> socket.socket:
