--- a/brackenlane/__main__.py
+++ b/brackenlane/__main__.py
@@ -53,6 +53,7 @@
             nursery.start_soon(_reload, hangups, config, changes)
             await serve_until_told(door, config.listen, config.name, limits,
                                    (lambda: operators.beside) if config.ops else None, operators.serving)
+            operators.close()
             nursery.cancel_scope.cancel()
 
 
--- a/brackenlane/ops/operators.py
+++ b/brackenlane/ops/operators.py
@@ -97,6 +97,12 @@
             except LedgerError as fault:
                 log.error("others are not told that this process serves: %s", fault)
 
+    def close(self) -> None:
+        """This process ends: the others know it at once."""
+        if self._ledger:
+            self._core.fleet.news = lambda: None
+            self._ledger.close()
+
     def _heard(self, record: Record) -> None:
         match record.kind:
             case Kind.ENTER | Kind.EXIT:
