--- a/frostsail/brain.py
+++ b/frostsail/brain.py
@@ -19,6 +19,7 @@
     Purged, Refuse, RequestClass, Role, Scope, SetTimer, Settings, Started, State, Subscribe, Verdict,
     Wake, Withdrawn,
 )
+from frostsail.sizes import Sizes
 
 RATIO, FEW = 2.0, 3  # r of the ladder: each rung is drawn so many times as often as the one below; up to few
 ORIGIN_CAP = 1 / 20  # the origin's share of the draw, at most
@@ -29,7 +30,6 @@
 KEPT = 4000  # objects remembered, at most
 WAITS = 0.5  # of its time that a fill waits for its source, off its cache's link
 LEAST = 0.2  # of its turns (squared) that a parent keeps however late its fills: it may have mended
-PRIOR = 4.0  # answers that the first guess of a mean counts as
 RETRIES = 0.2  # further attempts earned by each request
 SUSPECT = 2.0  # blame that takes a server out
 HEADROOM = 0.7  # of the time left that an attempt may need by its cache's crowd
@@ -95,12 +95,7 @@
         self.token = 0
         self.purges: dict[str | int, float] = {}  # by object (text) or group (number): when
         self.heat: OrderedDict[str, tuple[float, float]] = OrderedDict()  # aged work asked for per object
-        # Sending times by object, where sizes are not told: its parts are of one size.
-        self.sizes: OrderedDict[str, float] = OrderedDict()
-        # Mean sending times, learned: what comes in parts is large, and an aim is cut to it.
-        self.means = {c.name: c.aim * (0.8 if c.in_parts else 0.25) for c in settings.classes}
-        self.sizes_seen = False  # in answers
-        self.weighed = dict.fromkeys(self.means, PRIOR)  # answers that a mean rests on, the guess among them
+        self.sizes = Sizes(settings.classes, settings.tick, KEPT)
         self.mean_wait, self.wait_dev, self.strained = 0.5, 0.25, False  # of answers, in aims, learned
         self.misses = 0.5  # share of answers that were filled, learned
         self.narrow = 0.0  # the least width learned of a warm cache; more is in hand than on a link
@@ -293,7 +288,7 @@
 
     def _cold_cost(self, server: Server, request: Request) -> float:
         """What one request may cost a cold server: its class's mean sending time, or its own if more."""
-        return max(self.means[request.cls.name], request.work if server.me.role is Role.PARENT else 0.0)
+        return max(self.sizes.means[request.cls.name], request.work if server.me.role is Role.PARENT else 0.0)
 
     def _cold_room(self, server: Server, now: float) -> float:
         """Tokens of a server that started lately, this gateway's share of what it surely bears."""
@@ -339,9 +334,7 @@
     def _arrive(self, ask: Arrival, now: float) -> None:
         cls = self.classes.get(ask.cls) or self.s.classes[0]
         pace = ask.size_kb and self.s.pace_kb_per_s
-        work = ask.size_kb / pace if pace else self.sizes.get(ask.obj, self.means[cls.name])
-        if pace or ask.obj in self.sizes:
-            self._weigh(cls.name, work)
+        work = self.sizes.work(cls.name, ask.obj, ask.size_kb / pace if pace else 0.0)
         request = self.held[ask.request] = Request(ask, cls, now, max(work, self.s.tick))
         self.retries = min(self.retries + RETRIES, 4 / RETRIES)
         self._timer(ask.request, request.deadline, -1)
@@ -349,11 +342,6 @@
             pipe.usual += (pipe.hand - pipe.usual) / 16
         self._attempt(request, now)
 
-    def _weigh(self, cls: str, work: float) -> None:
-        """Learn the mean sending time of a class, at first by the few answers that there are."""
-        self.weighed[cls] = min(self.weighed[cls] + 1, 50.0)
-        self.means[cls] += (work - self.means[cls]) / self.weighed[cls]
-
     def _timer(self, request: str, at: float, attempt: int) -> None:
         self.token += 1
         self.timers[self.token] = request, attempt
@@ -488,7 +476,7 @@
                 elif filled and source and source.me.role is Role.PARENT and event.wait <= PROMPT * alone:
                     self._widen(source, min(attempt.queue, self._crowd(source, self.hub_seats)), 1.0)
             if request and not request.ask.size_kb:
-                self._size(request, alone, event.wait)
+                self.sizes.learn(request.cls.name, request.ask.obj, alone, event.wait)
         elif verdict is Verdict.UNREACHABLE:
             self._accuse(edge, 2 * SUSPECT, now)
         elif verdict is Verdict.BROKEN:
@@ -504,19 +492,6 @@
             alone = verdict is Verdict.ERROR and self.faults > 0.1 and event.wait < self.s.classes[0].aim
             self._accuse(edge if alone else source or edge, 0.5 if alone else 1.0, now)
 
-    def _size(self, request: Request, alone: float, wait: float) -> None:
-        """Learn a size that is not told: seen in the answer, or by the shortest wait, which tells most."""
-        self.sizes_seen = self.sizes_seen or alone > 0
-        if self.sizes_seen and not alone:
-            return  # 'unchanged' brings no bytes, so its wait tells of no size
-        obj, known = request.ask.obj, self.sizes.get(request.ask.obj, math.inf)
-        if alone and known == math.inf:
-            self._weigh(request.cls.name, alone)
-        self.sizes[obj] = max(alone, self.s.tick) if alone else min(wait, known)
-        self.sizes.move_to_end(obj)
-        if len(self.sizes) > KEPT:
-            self.sizes.popitem(last=False)
-
     def _late(self, attempt: Attempt, now: float) -> None:
         """Blame for an attempt overdue: who has proved to be alive since it was sent is not at fault."""
         edge, source = attempt.edge, attempt.source
--- a/tests/test_ladder.py
+++ b/tests/test_ladder.py
@@ -172,8 +172,8 @@
         rig.serve(f"o{n}", size_kb=0.0)
     router = rig.router
     assert len(router.servers) == len(members()) + 1
-    assert max(len(router.heat), len(router.sizes), len(router.orders)) <= 51
-    assert "o199" in router.sizes and not router.attempts
+    assert max(len(router.heat), len(router.sizes.by_object), len(router.orders)) <= 51
+    assert "o199" in router.sizes.by_object and not router.attempts
 
 
 def test_a_parent_whose_fills_mostly_come_late_is_drawn_seldom_and_comes_back() -> None:
--- a/tests/test_weights.py
+++ b/tests/test_weights.py
@@ -75,7 +75,7 @@
         fetch = only(rig.ask(f"o{n}", size_kb=0.0, part=0), Fetch)
         rig.router.handle(Outcome(fetch.request, 0, fetch.server, Verdict.OK, 0.6, True, Note.HIT,
                                   size_kb=1600.0), rig.now)
-    assert rig.router.means["video"] == pytest.approx(0.4, rel=0.25)  # 1,600 KB at 4,000 a second
+    assert rig.router.sizes.means["video"] == pytest.approx(0.4, rel=0.25)  # 1,600 KB at 4,000 a second
     rig.ask("o0", size_kb=0.0, part=7)  # another part of an object seen
     assert next(reversed(rig.router.held.values())).work == pytest.approx(0.4)
 
@@ -86,7 +86,7 @@
         fetch = only(rig.ask("clip", size_kb=0.0), Fetch)
         rig.router.handle(Outcome(fetch.request, 0, fetch.server, Verdict.OK, wait, True, Note.HIT,
                                   size_kb=size), rig.now)
-    assert rig.router.sizes["clip"] == pytest.approx(0.4)
+    assert rig.router.sizes.by_object["clip"] == pytest.approx(0.4)
 
 
 @pytest.mark.parametrize(("seats", "ranks"), [(1, [1, 2]), (9, [1, 1])])
