--- a/frostsail/brain.py
+++ b/frostsail/brain.py
@@ -503,9 +503,11 @@
     def _upstream(self, event: Outcome, request: Request, source: Server, now: float) -> None:
         """Learn how the origin does from a fill that it may have taken part in."""
         far = event.note is Note.FILLED_BY_ORIGIN
-        failed = event.verdict in (Verdict.ERROR, Verdict.FULL) and event.wait > 2 * self.s.tick
+        full = event.verdict is Verdict.FULL and event.wait > 2 * self.s.tick
         aim = request.cls.aim if event.first_byte else request.aim
-        if failed or (far and (event.first_byte or event.wait) >= HEADROOM * aim):
+        slow = (event.first_byte or event.wait) >= HEADROOM * aim
+        # A quick error is no sign of a queue: what waits in one fails once its fill is given up.
+        if full or (slow and (far or event.verdict is Verdict.ERROR)):
             # A parent's error may be its own: what fails at all parents alike fails behind them.
             blamed = [s.blame > 0 for s in self.rings[0]]
             sure = 1.0 if far or source is self.origin else sum(blamed) / max(1, len(blamed))
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -13,7 +13,7 @@
     Action, Cancel, Fail, Fetch, Member, Note, Outcome, Refuse, Role, SetTimer, Verdict, Wake,
 )
 from frostsail.upstream import LEAST, MENDS, Upstream
-from tests.rig import Rig
+from tests.rig import Rig, only
 
 GATEWAYS, RATE = 60, 100.0  # requests a second over all
 SLOW = 0.6 * RATE  # what the origin does a second once it falls behind
@@ -127,6 +127,17 @@
     assert world.share(110, 120) < 0.2
 
 
+@pytest.mark.parametrize("quick", [True, False])
+def test_quick_errors_are_no_queue(quick: bool) -> None:
+    """Errors that come at once hold nothing back from the origin; the same errors after a long wait do."""
+    rig = Rig([Member("edge-0", "depot", weight=8.0), Member("origin", "hub-a", Role.ORIGIN)], now=100.0)
+    rig.serve(note=Note.FILLED)
+    fetch = only(rig.ask("lost", "tiles", time_left=2.5, size_kb=0.0), Fetch)
+    assert (fetch.server, fetch.source) == ("edge-0", "origin")
+    rig.end(fetch, Verdict.ERROR, Note.UNTOLD, wait=0.015 if quick else 1.265)
+    assert (rig.router.upstream.part(rig.now) == 1.0) is quick
+
+
 def test_part() -> None:
     """Halved once for each crowd, down to its least; back to the whole in its time."""
     up = Upstream()
