--- a/brackenlane/__main__.py
+++ b/brackenlane/__main__.py
@@ -12,15 +12,15 @@
 import trio
 
 from brackenlane.config import Config, ConfigError, load
-from brackenlane.copies import Copies
-from brackenlane.core import Core
+from brackenlane.core.copies import Copies
+from brackenlane.core.core import Core
+from brackenlane.core.counts import Counts
 from brackenlane.limits import Limits
 from brackenlane.net.board import Board
 from brackenlane.net.changelog import ChangeLog
 from brackenlane.net.clients import Door
 from brackenlane.net.depots import Depots
 from brackenlane.net.listing import ListError, read_known
-from brackenlane.ops.counts import Counts
 from brackenlane.ops.door import OpsDoor
 from brackenlane.ops.ledger import Ledger, LedgerError
 from brackenlane.ops.operators import Operators
--- a/brackenlane/appliance.py
+++ b/brackenlane/appliance.py
@@ -12,19 +12,19 @@
 
 from brackenlane import console
 from brackenlane.config import ConfigError, Endpoint, read_endpoint
-from brackenlane.core import Core
+from brackenlane.core.core import Core
 from brackenlane.discovery import lastlist
 from brackenlane.discovery.cache import Lifetimes
 from brackenlane.discovery.feed import Feed
 from brackenlane.discovery.merge import Definition, Merge, Origin, Policy, Watch
 from brackenlane.discovery.resolver import Resolver
+from brackenlane.discovery.roster import Roster
 from brackenlane.dns.names import read_zone
 from brackenlane.dns.server import Responder, Server
 from brackenlane.limits import Limits
 from brackenlane.net.board import Board
 from brackenlane.net.clients import Door
 from brackenlane.net.depots import Depots
-from brackenlane.roster import Roster
 from brackenlane.service import listen, serve_until_told
 from brackenlane.settings.appliance import ApplianceFile, load_appliance
 from brackenlane.store.shared import Shared
--- a/brackenlane/cli/main.py
+++ b/brackenlane/cli/main.py
@@ -72,7 +72,7 @@
     import trio
 
     from brackenlane import appliance as program
-    from brackenlane.discovery import show
+    from brackenlane.cli import show
     from brackenlane.limits import Limits
 
     site = program.load(file)
--- a/brackenlane/discovery/show.py
+++ b/brackenlane/cli/show.py
@@ -12,8 +12,8 @@
 from brackenlane.discovery.merge import Merge, fixed
 from brackenlane.discovery.query import Kind
 from brackenlane.discovery.resolver import LookUpFailed, Resolver
+from brackenlane.discovery.roster import Roster
 from brackenlane.limits import Limits
-from brackenlane.roster import Roster
 
 if TYPE_CHECKING:
     from brackenlane.appliance import Appliance
--- a/brackenlane/console.py
+++ b/brackenlane/console.py
@@ -12,8 +12,8 @@
 import trio
 
 from brackenlane.admission.figures import WORDS, Figures
+from brackenlane.discovery.roster import Roster
 from brackenlane.limits import Limits
-from brackenlane.roster import Roster
 from brackenlane.store.shared import Shared
 from frostsail.interface import Verdict
 
--- /dev/null
+++ b/brackenlane/core/claims.py
@@ -0,0 +1,24 @@
+"""Whether a submit is ours to run: what the doormans of one site, or two processes of one, agree on."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import Protocol
+
+
+class Claim(Enum):
+    """Whether a submit is ours to run."""
+
+    OURS = "ours"
+    TAKEN = "taken"  # it has been claimed before: it may have run
+    UNKNOWN = "unknown"  # nobody can tell: it must not run
+
+
+class Claims(Protocol):
+    """Keeps a submit from being run by two doormans."""
+
+    async def claim(self, txn: str) -> Claim:
+        """Claim a submit before it runs."""
+
+    async def release(self, txn: str) -> None:
+        """Give back the claim of a submit that provably never ran."""
--- a/brackenlane/core.py
+++ b/brackenlane/core/core.py
@@ -18,10 +18,10 @@
 
 import trio
 
-from brackenlane.copies import Copies, Copy
-from brackenlane.fleet import Fleet
+from brackenlane.core.copies import Copies, Copy
+from brackenlane.core.fleet import Fleet
+from brackenlane.core.timers import Timer, Timers
 from brackenlane.limits import Limits
-from brackenlane.timers import Timer, Timers
 from frostsail import Router
 from frostsail.cold import Tokens
 from frostsail.interface import (
--- a/brackenlane/discovery/feed.py
+++ b/brackenlane/discovery/feed.py
@@ -10,9 +10,9 @@
 
 from brackenlane.discovery.query import Kind
 from brackenlane.discovery.resolver import Found, LookUpFailed, Resolver
+from brackenlane.discovery.roster import Roster
 from brackenlane.limits import Limits
-from brackenlane.net.depots import connect
-from brackenlane.roster import Roster
+from brackenlane.net.dial import connect
 
 log = logging.getLogger(__name__)
 
--- a/brackenlane/discovery/lastlist.py
+++ b/brackenlane/discovery/lastlist.py
@@ -17,7 +17,7 @@
 import trio
 
 from brackenlane.discovery.merge import Memory
-from brackenlane.roster import Roster, box_json, order_json, read_box, read_order
+from brackenlane.discovery.roster import Roster, box_json, order_json, read_box, read_order
 
 log = logging.getLogger(__name__)
 
--- a/brackenlane/discovery/resolver.py
+++ b/brackenlane/discovery/resolver.py
@@ -18,7 +18,7 @@
 from brackenlane.discovery.merge import Target
 from brackenlane.discovery.query import CHAIN, Kind, Question, Reply, Says, Sent, put, read
 from brackenlane.discovery.upstreams import Patience, Upstream, Upstreams
-from brackenlane.net.depots import connect, family_of
+from brackenlane.net.dial import connect, family_of
 
 log = logging.getLogger(__name__)
 
--- a/brackenlane/lab/boxes.py
+++ b/brackenlane/lab/boxes.py
@@ -18,8 +18,8 @@
 import orjson
 import trio
 
+from brackenlane.core.timers import Timers
 from brackenlane.net.board import READ, WRITE, Board
-from brackenlane.timers import Timers
 
 
 @dataclass
--- a/brackenlane/lab/load.py
+++ b/brackenlane/lab/load.py
@@ -20,8 +20,8 @@
 import orjson
 import trio
 
+from brackenlane.core.timers import Timer, Timers
 from brackenlane.net.board import READ, WRITE, Board
-from brackenlane.timers import Timer, Timers
 
 HEAD = re.compile(rb"HTTP/1\.1 (\d\d\d) [^\r]*\r\n(.*?)\r\n\r\n", re.DOTALL)
 LENGTH = re.compile(rb"[Cc]ontent-[Ll]ength: (\d+)")
--- a/brackenlane/net/changelog.py
+++ b/brackenlane/net/changelog.py
@@ -9,11 +9,12 @@
 from collections.abc import Callable, Iterable
 
 from brackenlane.config import Endpoint, Site
+from brackenlane.core.timers import Timer, Timers
 from brackenlane.limits import Limits
 from brackenlane.net.board import Board
-from brackenlane.net.depots import Depots, Dial
+from brackenlane.net.depots import Depots
+from brackenlane.net.dial import Dial
 from brackenlane.net.listing import Change, FrameReader, ListError, read_frame
-from brackenlane.timers import Timer, Timers
 from frostsail.interface import Event, ListKind, Membership, State
 
 log = logging.getLogger(__name__)
--- a/brackenlane/net/clients.py
+++ b/brackenlane/net/clients.py
@@ -13,19 +13,19 @@
 from collections import OrderedDict
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import replace
-from enum import Enum, IntEnum
+from enum import IntEnum
 from http import HTTPStatus
-from typing import Protocol
 
 import trio
 
 from brackenlane.admission.controller import Admission
 from brackenlane.admission.figures import Figures, Reason
-from brackenlane.core import Answer, Ask, Core, Ending
+from brackenlane.core.claims import Claim, Claims
+from brackenlane.core.core import Answer, Ask, Core, Ending
+from brackenlane.core.counts import Counts
 from brackenlane.limits import Limits
 from brackenlane.net.board import READ, WRITE, Board
 from brackenlane.net.http import CONTINUE, BadRequest, Headers, Reading, Requests, encode_answer, read_plain
-from brackenlane.ops.counts import Counts
 from frostsail.interface import Arrival, Effect, RequestClass
 
 log = logging.getLogger(__name__)
@@ -95,24 +95,6 @@
     return 504 if answer.late else 502, {}, b"failed\n"
 
 
-class Claim(Enum):
-    """Whether a submit is ours to run."""
-
-    OURS = "ours"
-    TAKEN = "taken"  # it has been claimed before: it may have run
-    UNKNOWN = "unknown"  # nobody can tell: it must not run
-
-
-class Claims(Protocol):
-    """Keeps a submit from being run by two doormans."""
-
-    async def claim(self, txn: str) -> Claim:
-        """Claim a submit before it runs."""
-
-    async def release(self, txn: str) -> None:
-        """Give back the claim of a submit that provably never ran."""
-
-
 class Waits(IntEnum):
     """What a client's connection is waiting for; a number, since the place in a list is found by it."""
 
--- /dev/null
+++ b/brackenlane/net/dial.py
@@ -0,0 +1,62 @@
+"""Connections that we open: to boxes and the change log on the board, to a store or a resolver as streams."""
+
+from __future__ import annotations
+
+import errno
+import socket
+import time
+from collections.abc import Callable
+
+import trio
+
+from brackenlane.config import Endpoint
+from brackenlane.core.timers import Timer, Timers
+from brackenlane.net.board import WRITE, Board
+
+
+def family_of(endpoint: Endpoint) -> int:
+    """The address family of an address and port."""
+    return socket.AF_INET6 if ":" in endpoint[0] else socket.AF_INET
+
+
+async def connect(endpoint: Endpoint) -> trio.SocketStream:
+    """A connection to one address."""
+    sock = trio.socket.socket(family_of(endpoint), trio.socket.SOCK_STREAM)
+    try:
+        await sock.connect(endpoint)
+    except BaseException:
+        sock.close()
+        raise
+    return trio.SocketStream(sock)
+
+
+class Dial:
+    """One try to connect; `then` is called once with its end, perhaps by `start`: a socket, or None."""
+
+    def __init__(self, endpoint: Endpoint, board: Board, timers: Timers, timeout: float,
+                 then: Callable[[Dial, socket.socket | None], None], keep: bool = True) -> None:
+        self.endpoint, self._timers, self._timeout, self._then = endpoint, timers, timeout, then
+        self.keep = keep  # whether more is wanted of it than to have come up
+        self._board, self._sock = board, socket.socket(family_of(endpoint))
+        self._timer: Timer | None = None
+        self._sock.setblocking(False)
+        self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def start(self) -> None:
+        """Try, for so long."""
+        fault = self._sock.connect_ex(self.endpoint)
+        if fault not in (0, errno.EINPROGRESS):
+            return self._end(None)
+        self._timer = self._timers.at(time.time() + self._timeout, self._end, None)
+        self._board.add(self._sock.fileno(), self._ready, WRITE, urgent=True)
+
+    def _ready(self, _: int) -> None:
+        self._end(self._sock if not self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) else None)
+
+    def _end(self, sock: socket.socket | None) -> None:
+        if self._timer:
+            self._timer.cancel()
+            self._board.remove(self._sock.fileno())
+        if sock is None:
+            self._sock.close()
+        self._then(self, sock)
--- a/brackenlane/ops/operators.py
+++ b/brackenlane/ops/operators.py
@@ -9,10 +9,11 @@
 import time
 from functools import partial
 
-from brackenlane.core import Core
+from brackenlane.core.claims import Claim
+from brackenlane.core.core import Core
+from brackenlane.core.counts import Gauges, expose
 from brackenlane.limits import Limits
-from brackenlane.net.clients import Claim, Door
-from brackenlane.ops.counts import Gauges, expose
+from brackenlane.net.clients import Door
 from brackenlane.ops.ledger import Ledger, LedgerError
 from brackenlane.ops.maintenance import Maintenance, Reply
 from brackenlane.ops.records import Kind, Record
--- a/brackenlane/service.py
+++ b/brackenlane/service.py
@@ -17,7 +17,7 @@
 from brackenlane.limits import Limits
 from brackenlane.net.board import Board
 from brackenlane.net.clients import Door
-from brackenlane.net.depots import family_of
+from brackenlane.net.dial import family_of
 
 log = logging.getLogger(__name__)
 
--- a/brackenlane/store/resp.py
+++ b/brackenlane/store/resp.py
@@ -8,7 +8,7 @@
 import trio
 
 from brackenlane.config import Endpoint
-from brackenlane.net.depots import connect
+from brackenlane.net.dial import connect
 
 
 class StoreAway(Exception):
--- a/brackenlane/store/shared.py
+++ b/brackenlane/store/shared.py
@@ -15,10 +15,10 @@
 import trio
 
 from brackenlane.config import Endpoint
-from brackenlane.limits import Limits
-from brackenlane.net.clients import Claim
+from brackenlane.core.claims import Claim
 from brackenlane.discovery.merge import Definition, Order, Origin
-from brackenlane.roster import Roster, box_json, order_json, read_box, read_order
+from brackenlane.discovery.roster import Roster, box_json, order_json, read_box, read_order
+from brackenlane.limits import Limits
 from brackenlane.store.resp import Connection, StoreAway, StoreError
 
 log = logging.getLogger(__name__)
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -8,7 +8,7 @@
 import pytest
 import trio
 
-from brackenlane.copies import Copies, Copy
+from brackenlane.core.copies import Copies, Copy
 from frostsail.interface import Arrival, Purged
 from tests.rig import TILES, VIDEO, settings
 from tests.stand_ins import Log, platform, with_trio
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -8,7 +8,7 @@
 import pytest
 import trio
 
-from brackenlane.core import Answer, Ask, Attempt, Core, Ending, Reply
+from brackenlane.core.core import Answer, Ask, Attempt, Core, Ending, Reply
 from brackenlane.limits import Limits
 from frostsail.interface import (
     Action, Arrival, Effect, Event, Fetch, ListKind, Membership, Refuse, RequestClass, Verdict,
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -11,11 +11,11 @@
 import pytest
 
 from brackenlane.config import Site
+from brackenlane.core.timers import Timer, Timers
 from brackenlane.limits import Limits
 from brackenlane.net import changelog
 from brackenlane.net.changelog import ChangeLog
 from brackenlane.net.depots import Depots
-from brackenlane.timers import Timer, Timers
 from frostsail.interface import Fetch, ListKind, Member, Note, Role
 from tests.rig import VIDEO, Rig, every, members, settings
 
--- /dev/null
+++ b/tests/test_layers.py
@@ -0,0 +1,71 @@
+"""Imports go down the house only: nobody reaches a room that stands above his own."""
+
+from __future__ import annotations
+
+import ast
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parents[1]
+# Each room may import those of the rows above its own, and itself; rooms of one row don't know each other.
+ROWS = (
+    ("limits", "config", "placement"),
+    ("core", "admission"),
+    ("net",),
+    ("discovery", "dns", "ops"),
+    ("store", "settings", "service"),
+    ("appliance", "console"),
+    ("cli",),
+    ("__main__",),
+)
+RANK = {room: n for n, row in enumerate(ROWS) for room in row}
+ALSO = {("appliance", "console"), ("dns", "admission")}  # within a row, told by name
+
+
+def room(module: str) -> str:
+    """The room of a module of ours; "" for the package itself."""
+    return module.split(".")[1] if "." in module else ""
+
+
+def upward(module: str, text: str) -> list[str]:
+    """What a module's text imports from a room that is not below its own."""
+    here, found = room(module), []
+    for node in ast.walk(ast.parse(text)):
+        names = [a.name for a in node.names] if isinstance(node, ast.Import) else []
+        if isinstance(node, ast.ImportFrom) and node.module:
+            names = [f"{node.module}.{a.name}" for a in node.names]
+        for name in names:
+            there = room(name) if name.startswith("brackenlane.") else here
+            below = RANK.get(there, 99) < RANK.get(here, 99)
+            if there != here and there != "__version__" and not below and (here, there) not in ALSO:
+                found.append(name)
+    return found
+
+
+def sources() -> list[Path]:
+    """All of the product's own files; the laboratory stands beside the house."""
+    files = sorted((ROOT / "brackenlane").rglob("*.py"))
+    return [f for f in files if "lab" not in f.relative_to(ROOT).parts]
+
+
+def test_no_import_runs_up() -> None:
+    """Every import of every file, those inside functions and for types among them."""
+    modules = {f: ".".join(f.relative_to(ROOT).with_suffix("").parts) for f in sources()}
+    assert len(modules) > 50
+    found = {name: up for f, name in modules.items() if (up := upward(name, f.read_text()))}
+    assert not found
+
+
+def test_nobody_needs_the_laboratory() -> None:
+    """What is in service loads no stand-in, and decisions know nothing of the program round them."""
+    assert not [f for f in sources() if "brackenlane.lab" in f.read_text()]
+    assert not [f for f in (ROOT / "frostsail").glob("*.py") if "import brackenlane" in f.read_text()
+                or "from brackenlane" in f.read_text()]
+
+
+@pytest.mark.parametrize("line", ["from brackenlane.net.board import Board", "import brackenlane.ops.door",
+                                  "def f():\n    from brackenlane import net"])
+def test_an_arrow_up_is_found(line: str) -> None:
+    """The check finds what it is there for."""
+    assert upward("brackenlane.core.core", line)
