--- a/brackenlane/appliance.py
+++ b/brackenlane/appliance.py
@@ -11,12 +11,15 @@
 from dns.name import Name
 
 from brackenlane import console
+from brackenlane.coldstart.pace import Capacity
+from brackenlane.coldstart.phases import Event, Phases
+from brackenlane.coldstart.reading import NOWHERE
 from brackenlane.config import ConfigError, Endpoint, read_endpoint
 from brackenlane.core.core import Core
 from brackenlane.discovery import lastlist
 from brackenlane.discovery.cache import Lifetimes
 from brackenlane.discovery.feed import Feed
-from brackenlane.discovery.merge import Definition, Merge, Origin, Policy, Watch
+from brackenlane.discovery.merge import Definition, Memory, Merge, Origin, Policy, Watch
 from brackenlane.discovery.resolver import Resolver
 from brackenlane.discovery.roster import Roster
 from brackenlane.dns.names import read_zone
@@ -26,12 +29,14 @@
 from brackenlane.net.clients import Door
 from brackenlane.net.depots import Depots
 from brackenlane.service import listen, serve_until_told
-from brackenlane.settings.appliance import ApplianceFile, load_appliance
+from brackenlane.settings.appliance import ApplianceFile, ColdStarts, load_appliance
 from brackenlane.store.shared import Shared
 from frostsail.interface import Role, Settings, Verdict
 
 log = logging.getLogger(__name__)
 
+GROUPS = 256  # of objects, by number
+
 
 @dataclass(frozen=True, slots=True)
 class Appliance:
@@ -50,6 +55,8 @@
     policy: Policy
     lifetimes: Lifetimes
     last_list: Path | None
+    capacity: Capacity
+    coldstart: ColdStarts
 
 
 def load(path: str) -> Appliance:
@@ -71,18 +78,54 @@
         read_endpoint(told.redis, "redis") if told.redis else None, str(base / told.console),
         Policy(d.grace, d.most_gone, d.confirm, d.settle, d.remembered, d.warm),
         Lifetimes(floor=d.floor, ceiling=d.ceiling, negative=d.negative, stale=d.stale),
-        base / d.last_list if d.last_list else None)
+        base / d.last_list if d.last_list else None,
+        Capacity(told.coldstart.doormans or told.settings.gateways, told.coldstart.asks,
+                 told.coldstart.loads), told.coldstart)
+
+
+def start_merge(config: Appliance, roster: Roster, kept: lastlist.Kept | None, phases: Phases) -> bool:
+    """What is known before anybody is asked: the last list's orders and boxes, then the file's own.
+
+    False: the last list is too old to be trusted before the store is asked; its orders hold all the same.
+    """
+    now, trusted = time.time(), True
+    # Who lost power can't know that the boxes kept it, nor what has become of them since long ago.
+    if config.last_list and not (kept and kept.left and 0 <= now - kept.saved <= config.policy.warm):
+        roster.apply(roster.merge.chill(now))
+    if kept:
+        trusted = config.redis is None or 0 <= now - kept.saved <= config.coldstart.trust
+        if trusted:
+            recall(roster, phases, kept)
+        else:
+            roster.apply(roster.merge.recall(Memory(orders=kept.memory.orders), now, now))
+    for box in config.boxes:
+        roster.define(Origin.FILE, box)
+    return trusted
 
 
-def start_merge(config: Appliance, roster: Roster) -> None:
-    """What is known before anybody is asked: the last list's orders and boxes, then the file's own."""
+def recall(roster: Roster, phases: Phases, kept: lastlist.Kept) -> None:
+    """Serve from a last list."""
     now = time.time()
-    if config.last_list and (kept := lastlist.load(config.last_list)):
-        memory, saved = kept
-        roster.apply(roster.merge.recall(memory, saved, now))
-        log.info("the last list, of %.0f s ago: %d boxes", now - saved, len(roster.merge.boxes))
-    for box in config.boxes:
-        roster.define(Origin.FILE, box)
+    roster.apply(roster.merge.recall(kept.memory, kept.saved, now))
+    phases.step(Event.RECALL, now)
+    log.info("the last list, of %.0f s ago: %d boxes", now - kept.saved, len(roster.merge.boxes))
+
+
+async def unheard(config: Appliance, roster: Roster, phases: Phases, old: lastlist.Kept | None,
+                  limits: Limits) -> None:
+    """What is done while the store has not been heard since our start; old: a last list not trusted yet."""
+    await trio.sleep(limits.unknown_purges)
+    if phases.heard:
+        return
+    # Which purges were told while we were away is unknown: each object counts as purged, for as long as a
+    # purge takes at the boxes themselves.
+    log.warning("the store was not heard yet: no copy from before now is served")
+    for group in range(-1, GROUPS):
+        roster.purge("", group, time.time())
+    if old is not None:
+        await trio.sleep(max(0.0, config.coldstart.patience - limits.unknown_purges))
+        if not phases.heard:  # an old list is better than none
+            recall(roster, phases, old)
 
 
 async def serve(config: Appliance, limits: Limits) -> None:
@@ -108,28 +151,37 @@
         roster = Roster(Merge(config.policy, config.watches), core.post, depots.follow)
         nursery.start_soon(core.run)
         nursery.start_soon(board.run)
-        start_merge(config, roster)
-        keeper = lastlist.Keeper(roster, config.last_list, limits.last_list) if config.last_list else None
-        if keeper:
-            nursery.start_soon(keeper.run)
+        phases = Phases(time.time())
+        kept = lastlist.load(config.last_list) if config.last_list else None
+        trusted = start_merge(config, roster, kept, phases)
         if config.resolvers:
             resolver = Resolver(config.resolvers, nursery, budget=limits.look_up, lifetimes=config.lifetimes,
                                 most=limits.look_ups)
-            feeds.append(Feed(roster, resolver, limits, config.settings.connect_timeout, nursery))
+            feeds.append(Feed(roster, resolver, limits, config.settings.connect_timeout, nursery, config.name,
+                              (config.capacity.doormans - 1) / config.coldstart.look_ups))
             nursery.start_soon(feeds[0].run)
         shared = Shared(config.redis, str(config.zone), config.name, roster, config.settings.purge_done,
-                        limits) if config.redis else None
+                        limits, config.capacity, phases,
+                        kept.place if kept and trusted else NOWHERE) if config.redis else None
         if shared:
             nursery.start_soon(shared.run, list(config.boxes))
+            nursery.start_soon(unheard, config, roster, phases, None if trusted else kept, limits)
+        else:
+            phases.step(Event.READ, time.time())  # nobody else knows more
+        keeper = lastlist.Keeper(roster, config.last_list, limits.last_list, lambda: shared.place if shared
+                                 else NOWHERE) if config.last_list else None
+        if keeper:
+            nursery.start_soon(keeper.run)
         responder = Responder(config.zone, config.http, core, roster, limits)
         await _open_dns(config.dns, Server(responder, limits), nursery)
         door = Door(core, limits, board, shared, nursery)
-        desk = console.Desk(health, roster, shared, limits, door.figures, config.name)
+        door.ready = lambda: phases.heard or config.coldstart.ready == "listed"
+        desk = console.Desk(health, roster, shared, limits, door.figures, config.name, phases)
         nursery.start_soon(trio.serve_listeners, desk.serve, [console.open_listener(Path(config.console))])
         await serve_until_told(door, config.http, config.name, limits)
         Path(config.console).unlink(missing_ok=True)
         if keeper:
-            await keeper.keep()
+            await keeper.keep(left=True)
         nursery.cancel_scope.cancel()
 
 
--- a/brackenlane/cli/show.py
+++ b/brackenlane/cli/show.py
@@ -22,11 +22,13 @@
 async def ask_once(site: Appliance, limits: Limits) -> dict[str, Any]:
     """Ask for every SRV entry and host name once, past the cache; nothing of a running doorman is touched."""
     from brackenlane.appliance import start_merge
+    from brackenlane.coldstart.phases import Phases
+    from brackenlane.discovery import lastlist
 
     logging.getLogger("brackenlane").setLevel(logging.ERROR)
     answers: list[dict[str, Any]] = []
     roster = Roster(Merge(site.policy, site.watches), lambda _: None, lambda *_: None)
-    start_merge(site, roster)
+    start_merge(site, roster, lastlist.load(site.last_list) if site.last_list else None, Phases(time.time()))
     async with trio.open_nursery() as nursery:
         resolver = Resolver(site.resolvers, nursery, budget=limits.look_up, lifetimes=site.lifetimes,
                             most=limits.look_ups)
--- a/brackenlane/console.py
+++ b/brackenlane/console.py
@@ -12,6 +12,7 @@
 import trio
 
 from brackenlane.admission.figures import WORDS, Figures
+from brackenlane.coldstart.phases import Phase, Phases
 from brackenlane.discovery.roster import Roster
 from brackenlane.limits import Limits
 from brackenlane.store.shared import Shared
@@ -23,12 +24,20 @@
 restore BOX         take a drained box back
 purge object OBJ    nothing older than now is served of an object
 purge group N       the same of a group
+start               the phase of the start, since when, and the store's state
 load                how busy the doorman is, and what it refused at its door
 help                this text
 quit                leave
 """
 
 
+MEANS = {
+    Phase.EMPTY: "the file alone; what the store has is not known yet",
+    Phase.RECALLED: "the last list; drains and purges since it are not known yet",
+    Phase.LOADING: "the whole list is being read from the store",
+    Phase.CURRENT: "all is known",
+    Phase.BEHIND: "all that the store told until it was lost",
+}
 Health = dict[str, tuple[Verdict, float]]  # the last outcome at each box, and when
 
 
@@ -36,9 +45,9 @@
     """Carries out what the operator asks."""
 
     def __init__(self, health: Health, roster: Roster, shared: Shared | None, limits: Limits,
-                 figures: Figures, name: str) -> None:
+                 figures: Figures, name: str, phases: Phases) -> None:
         self._last, self._roster, self._shared, self._limits = health, roster, shared, limits
-        self._figures, self._name = figures, name
+        self._figures, self._name, self._phases = figures, name, phases
 
     async def do(self, line: str) -> str:
         """The answer to one command."""
@@ -62,6 +71,8 @@
                 return await self._purge("", int(text))
             case ["load"]:
                 return self._load()
+            case ["start"]:
+                return self._start()
             case ["help"]:
                 return HELP
         return f"not understood: {line.strip()[:60]!r}; 'help' lists the commands\n"
@@ -109,6 +120,17 @@
         return (f"last second: {self._figures.last.line()}\n"
                 f"since the start: taken {self._figures.taken}, refused at the door: {total}\n")
 
+    def _start(self) -> str:
+        phase, now = self._phases.phase, time.time()
+        text = f"{phase.value} since {max(0.0, now - self._phases.since):.0f} s: {MEANS[phase]}\n"
+        if not self._shared:
+            return text + "no store: what this doorman knows is all there is\n"
+        pace = self._shared.pace
+        if self._shared.fault:
+            text += f"store away, {pace.failures} tries in a row: {self._shared.fault}\n"
+        return text + (f"place in the store's log {self._shared.place}; questions of "
+                       f"{pace.capacity.doormans} doormans are spread over {pace.window:.2f} s\n")
+
     def _health(self, server: str) -> str:
         last = self._last.get(server)
         if last is None:
--- a/brackenlane/discovery/feed.py
+++ b/brackenlane/discovery/feed.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import logging
+import random
 import time
 from dataclasses import dataclass, field
 
 import trio
 
+from brackenlane.coldstart.pace import early, jittered, place
 from brackenlane.discovery.query import Kind
 from brackenlane.discovery.resolver import Found, LookUpFailed, Resolver
 from brackenlane.discovery.roster import Roster
@@ -17,19 +19,25 @@
 log = logging.getLogger(__name__)
 
 
+LONGEST = 16.0  # times the wait after a first failure that a later one may take
+
+
 @dataclass(slots=True)
 class Watcher:
     """One name that is asked for; `again` is set when its answer has been found wanting."""
 
     again: trio.Event = field(default_factory=trio.Event)
     asked: float = 0.0
+    failures: int = 0  # in a row
 
 
 class Feed:
     """Keeps the merge's SRV entries and addresses right for as long as something names them."""
 
     def __init__(self, roster: Roster, resolver: Resolver, limits: Limits, connect_timeout: float,
-                 nursery: trio.Nursery) -> None:
+                 nursery: trio.Nursery, name: str = "", window: float = 0.0) -> None:
+        """name: of this doorman; window: seconds in which the whole fleet asks for one name."""
+        self._name, self._window, self._chance = name, window, random.Random()
         self._roster, self._merge, self._resolver = roster, roster.merge, resolver
         self._limits, self._connect_timeout, self._nursery = limits, connect_timeout, nursery
         self._hosts: dict[str, Watcher] = {}
@@ -67,8 +75,10 @@
 
     async def _follow_srv(self, srv: str) -> None:
         """One SRV entry: its answers, by their lifetimes."""
+        await self._turn(srv)
+        failures = 0
         while True:
-            wait = self._limits.resolver_retry
+            failures += 1
             try:
                 found = await self._resolver.look_up(srv, Kind.SRV)
             except LookUpFailed as fault:
@@ -78,14 +88,25 @@
                     self._failed(srv, f"the last answer is used on: {found.why}")
                 else:
                     self._roster.apply(self._merge.answer(srv, found.targets, found.upstream, time.time()))
-                    wait = self._wait(found)
-            await trio.sleep(wait)
+                    failures = 0
+            await trio.sleep(self._retry(failures) if failures else self._wait(found))
+
+    async def _turn(self, name: str) -> None:
+        """This doorman's own place in the time in which all ask for a name first."""
+        names = max(1, len(self._hosts) + len(self._merge.entries))
+        await trio.sleep(place(self._name, name) * self._window * names)
+
+    def _retry(self, failures: int) -> float:
+        """Seconds until the next try: hundreds whom one resolver failed must not come back together."""
+        first = max(self._limits.resolver_retry, self._window)
+        return jittered(failures, first, LONGEST * first, self._chance)
 
     async def _follow_host(self, host: str) -> None:
         """One host name, until nothing names it any more."""
         watcher = self._hosts[host]
+        await self._turn(host)
         while host in self._merge.hosts:
-            wait = await self._locate(host)
+            wait = await self._locate(host, watcher)
             watcher.asked = time.time()
             with trio.move_on_after(wait):
                 await watcher.again.wait()
@@ -95,29 +116,39 @@
         del self._hosts[host]
         self._merge.leave(host)
 
-    async def _locate(self, host: str) -> float:
+    async def _locate(self, host: str, watcher: Watcher) -> float:
         """Look up once; seconds until the next time."""
+        watcher.failures += 1
         try:
             found = await self._resolver.addresses(host)
         except LookUpFailed as fault:
             self._failed(host, str(fault))
-            return self._limits.resolver_retry
+            return self._retry(watcher.failures)
         if found.stale:
             self._failed(host, f"the last answer is used on: {found.why}")
-            return self._limits.resolver_retry
+            return self._retry(watcher.failures)
+        spot = self._merge.places.get(host)
+        known = spot.address if spot else None
+        if known is not None and found.addresses == (known,):
+            # Told again what is in use: no look, or all doormans dial all boxes each lifetime.
+            self._roster.apply(self._merge.locate(host, found.addresses, time.time()))
+            watcher.failures = 0
+            return self._wait(found)
         # Guards against a stale cached answer: an address is taken only if a box answers there.
         ports = {box.what.port for box in self._merge.boxes.values() if box.what.host == host}
         alive = [address for address in found.addresses if await self._alive(address, ports)]
         if found.addresses and not alive:
             self._merge.locate_failed(host, f"nobody answers at {', '.join(found.addresses)}")
             self._resolver.doubt(host)
-            return self._limits.resolver_retry
+            return self._retry(watcher.failures)
         # A box that has left its old address moves at once; two that both answer move it once in a while.
-        place = self._merge.places.get(host)
-        old = place.address if place and place.address not in alive else None
+        old = spot.address if spot and spot.address not in alive else None
         dead = old is not None and not await self._alive(old, ports)
         self._roster.apply(self._merge.locate(host, alive, time.time(), dead))
-        return self._wait(found) if alive else self._limits.resolver_retry
+        if not alive:
+            return self._retry(watcher.failures)
+        watcher.failures = 0
+        return self._wait(found)
 
     async def _alive(self, address: str, ports: set[int]) -> bool:
         for port in ports:
@@ -131,7 +162,7 @@
         return False
 
     def _wait(self, found: Found) -> float:
-        return max(self._limits.resolver_least, found.until - time.time())
+        return max(self._limits.resolver_least, early(found.until - time.time(), self._chance))
 
     def _failed(self, name: str, why: str) -> None:
         log.warning("%s: %s", name, why)
--- a/brackenlane/discovery/lastlist.py
+++ b/brackenlane/discovery/lastlist.py
@@ -1,7 +1,8 @@
 """The last list on disk: whole or not at all, and never trusted when damaged.
 
-One JSON document: version, checksum, time and what the merge remembers. It is replaced atomically (a new
-file, synced, renamed over the old one), so a crash at any point leaves the old list or the new one.
+One JSON document: version, checksum, time, the place in the shared store's log up to which it is true,
+whether the doorman left in order, and what the merge remembers. It is replaced atomically (a new file,
+synced, renamed over the old one), so a crash at any point leaves the old list or the new one.
 """
 
 from __future__ import annotations
@@ -10,50 +11,68 @@
 import logging
 import os
 import time
+from collections.abc import Callable
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
 import orjson
 import trio
 
+from brackenlane.coldstart.reading import NOWHERE, read_place
 from brackenlane.discovery.merge import Memory
 from brackenlane.discovery.roster import Roster, box_json, order_json, read_box, read_order
 
 log = logging.getLogger(__name__)
 
-VERSION = 1
+VERSION = 2
 LARGEST = 16 * 2**20  # bytes
 
 
-def dump(memory: Memory, saved: float) -> bytes:
+@dataclass(frozen=True, slots=True)
+class Kept:
+    """A last list."""
+
+    memory: Memory
+    saved: float  # Unix time
+    place: str = NOWHERE  # in the log of the shared store: all up to it is in this list
+    left: bool = False  # written as the doorman left in order; else power or the program was lost
+
+
+def dump(kept: Kept) -> bytes:
     """A last list as it is written."""
+    memory = kept.memory
     body = orjson.dumps({
-        "saved": saved, "others": [box_json(what) for what in memory.others],
+        "saved": kept.saved, "place": kept.place, "left": kept.left,
+        "others": [box_json(what) for what in memory.others],
         "listed": {srv: [box_json(what) for what in listed] for srv, listed in memory.listed.items()},
         "places": memory.places, "orders": [order_json(*pair) for pair in memory.orders.items()]})
     digest = hashlib.sha256(body).hexdigest()
     return orjson.dumps({"version": VERSION, "sha256": digest, "body": body.decode()})
 
 
-def parse(data: bytes) -> tuple[Memory, float]:
+def parse(data: bytes) -> Kept:
     """What was remembered, and when; ValueError for what is damaged or of another version."""
     try:
         outer: dict[str, Any] = orjson.loads(data)
         version, body = outer["version"], str(outer["body"]).encode()
-        if version != VERSION:
+        if version not in (1, VERSION):  # the first knew neither place nor leaving
             raise ValueError(f"version {version!r}, not {VERSION}")
         if hashlib.sha256(body).hexdigest() != outer["sha256"]:
             raise ValueError("the checksum does not fit")
         raw: dict[str, Any] = orjson.loads(body)
         listed = {str(srv): tuple(read_box(box) for box in boxes) for srv, boxes in raw["listed"].items()}
-        return Memory(tuple(read_box(box) for box in raw["others"]), listed,
-                      {str(host): str(at) for host, at in raw["places"].items()},
-                      dict(read_order(order) for order in raw["orders"])), float(raw["saved"])
+        place = str(raw.get("place", NOWHERE))
+        read_place(place)
+        memory = Memory(tuple(read_box(box) for box in raw["others"]), listed,
+                        {str(host): str(at) for host, at in raw["places"].items()},
+                        dict(read_order(order) for order in raw["orders"]))
+        return Kept(memory, float(raw["saved"]), place, raw.get("left", False) is True)
     except (KeyError, TypeError, AttributeError) as fault:
         raise ValueError(f"{type(fault).__name__}: {fault}") from None
 
 
-def load(path: Path) -> tuple[Memory, float] | None:
+def load(path: Path) -> Kept | None:
     """The last list; a damaged one is set aside, with a log line, and none is had."""
     try:
         if path.stat().st_size > LARGEST:
@@ -89,8 +108,9 @@
 class Keeper:
     """Writes the last list after changes, once in a while; what fails is said and tried again."""
 
-    def __init__(self, roster: Roster, path: Path, pause: float) -> None:
-        self._roster, self._path, self._pause = roster, path, pause
+    def __init__(self, roster: Roster, path: Path, pause: float, place: Callable[[], str]) -> None:
+        """place: up to where in the shared store's log the roster has taken in all there is."""
+        self._roster, self._path, self._pause, self._place = roster, path, pause, place
         self._news = trio.Event()
         self._written = b""
         roster.changed.append(self._changed)
@@ -110,9 +130,9 @@
                 self._news.set()
             await trio.sleep(self._pause)
 
-    async def keep(self) -> None:
-        """Write what is remembered now, unless that is what stands there."""
-        memory = self._roster.merge.memory()
-        if (same := dump(memory, 0.0)) != self._written:
-            await trio.to_thread.run_sync(save, self._path, dump(memory, time.time()))
+    async def keep(self, left: bool = False) -> None:
+        """Write what is remembered now, unless that stands there; left: for the last time, in order."""
+        kept = Kept(self._roster.merge.memory(), 0.0, self._place(), left)
+        if (same := dump(kept)) != self._written:
+            await trio.to_thread.run_sync(save, self._path, dump(replace(kept, saved=time.time())))
             self._written = same
--- a/brackenlane/discovery/merge.py
+++ b/brackenlane/discovery/merge.py
@@ -209,6 +209,7 @@
         self.left_out = 0  # for want of room
         self._said: dict[Origin, dict[str, Definition]] = {o: {} for o in Origin if o is not Origin.SRV}
         self._recalled = 0.0  # from when what memory alone names counts as cold; 0: it is warm still
+        self._cold = 0.0  # from when all boxes count as cold; 0: they don't
         self._published: dict[str, Change] = {}
         self._alias: dict[str, str] = {}  # ids that are another box's as well
         self._due = False  # a drain or a restore may have changed who stands by
@@ -331,6 +332,11 @@
                       {host: place.address for host, place in self.places.items() if place.address},
                       dict(self.orders))
 
+    def chill(self, now: float) -> list[Change]:
+        """Nobody can tell whether the boxes were running before now: all count as cold from now."""
+        self._cold = now
+        return self._renew(now)
+
     def recall(self, memory: Memory, saved: float, now: float) -> list[Change]:
         """The last list, weighed by its age: too old, its boxes are left out; the orders never are."""
         for server, order in memory.orders.items():
@@ -354,6 +360,13 @@
         self._said[Origin.MEMORY].clear()
         return self._renew(now)
 
+    def confirm(self, now: float) -> list[Change]:
+        """The store stands behind what memory kept of it: these are its words now."""
+        kept = self._said[Origin.MEMORY]
+        self._said[Origin.STORE] = {**kept, **self._said[Origin.STORE]}
+        self._said[Origin.MEMORY] = {}
+        return self._renew(now)
+
     def tick(self, now: float) -> list[Change]:
         """What time alone changes: periods of grace that are over, moves that were put off."""
         over = self._due
@@ -483,12 +496,12 @@
         """From when a box counts as cold: since it was added or has moved; 0 if it is warm."""
         place = self.places.get(what.host)
         moved = place.moved if place and place.moved > 0 else 0.0
-        added = 0.0
+        added = self._cold
         if origin is Origin.SRV:
             added = max((listed.first for entry in self.entries.values() if (
-                listed := entry.listed.get(what.id)) and listed.cold), default=0.0)
+                listed := entry.listed.get(what.id)) and listed.cold), default=added)
         elif origin is Origin.MEMORY:
-            added = self._recalled
+            added = max(added, self._recalled)
         return max(moved, added)
 
     def _drain(self, box: Box) -> Order | None:
--- /dev/null
+++ b/brackenlane/lab/standins/redis.py
@@ -0,0 +1,214 @@
+"""A scripted Redis on loopback: as much of it as the doormans use, with a stated capacity and failures.
+
+It keeps strings, hashes and streams. Beyond its capacity it slows down, then refuses, as real ones do. At a
+restart it may have lost its latest writes, or all.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import math
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import hiredis
+import trio
+
+from brackenlane.lab.standins.box import Door
+
+Seen = Callable[..., None]
+
+
+@dataclass(frozen=True, slots=True)
+class Capacity:
+    """What it bears a second; beyond it answers wait, and past `patience` seconds of that it refuses."""
+
+    commands: float = math.inf
+    connections: float = math.inf
+    bytes: float = math.inf
+    patience: float = 0.5
+
+
+class Redis(Door):
+    """The store. `seen` is told of every connection, command and event sent, for a record."""
+
+    def __init__(self, capacity: Capacity = Capacity(), seen: Seen = lambda *_, **__: None) -> None:
+        self.keys: dict[str, Any] = {}
+        self.news, self.seen = trio.Event(), trio.Event()
+        self.capacity, self._tell = capacity, seen
+        self.late = 0.0  # seconds that each answer takes besides
+        self._free = 0.0  # when all that has come is worked off, monotonic
+        self._undo: deque[tuple[float, Callable[[], None]]] = deque(maxlen=100_000)
+        self.commands = self.connections = self.sent = self.refused = 0
+
+    def lose(self, seconds: float = math.inf) -> None:
+        """Forget the writes of the last seconds, or all: as a restart from an older state does."""
+        since = time.monotonic() - seconds
+        while self._undo and self._undo[-1][0] >= since:
+            self._undo.pop()[1]()
+        if seconds == math.inf:
+            self.keys.clear()
+            self._undo.clear()
+
+    def _work(self, cost: float) -> float:
+        """Seconds until some work (seconds of it) is done, behind all that came before."""
+        now = time.monotonic()
+        self._free = max(self._free, now) + cost
+        return self._free - now
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        self.connections += 1
+        who = stream.socket.getpeername()[1]
+        wait = self._work(1 / self.capacity.connections)
+        self._tell("connect", who, wait=wait)
+        if wait > self.capacity.patience:
+            self.refused += 1
+            self._tell("refuse", who)
+            with contextlib.suppress(trio.BrokenResourceError):
+                await stream.send_all(b"-ERR max number of clients reached\r\n")
+            return await stream.aclose()
+        reader = hiredis.Reader(encoding="utf-8")
+        queue: list[list[str]] | None = None
+        with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+            while got := await stream.receive_some(65536):
+                reader.feed(got)
+                while (command := reader.gets()) is not False:
+                    self.commands += 1
+                    word = command[0]
+                    if word == "MULTI":
+                        queue, reply = [], b"+OK\r\n"
+                    elif word == "EXEC":
+                        assert queue is not None
+                        reply = b"*%d\r\n" % len(queue) + b"".join([await self._do(c) for c in queue])
+                        queue = None
+                    elif queue is not None:
+                        queue.append(command)
+                        reply = b"+QUEUED\r\n"
+                    else:
+                        reply = await self._do(command)
+                    self.sent += len(reply)
+                    cost = 1 / self.capacity.commands + len(reply) / self.capacity.bytes
+                    wait = self._work(cost)
+                    self._tell("command", who, word=word, cost=cost, sent=len(reply), wait=wait)
+                    if wait > self.capacity.patience:
+                        self.refused += 1
+                        self._tell("refuse", who)
+                        reply = b"-BUSY beyond the stated capacity\r\n"
+                    if wait > 0.001 or self.late:
+                        await trio.sleep(wait + self.late)
+                    await stream.send_all(reply)
+
+    def _write(self, key: str, name: str | None, value: Any) -> None:
+        """One write to a string (no name) or a hash, so that it can be lost."""
+        table = self.keys if name is None else self.keys.setdefault(key, {})
+        at = key if name is None else name
+        old = table.get(at)
+
+        def undo() -> None:
+            if old is None:
+                table.pop(at, None)
+            else:
+                table[at] = old
+        self._undo.append((time.monotonic(), undo))
+        if value is None:
+            table.pop(at, None)
+        else:
+            table[at] = value
+
+    async def _do(self, command: list[str]) -> bytes:
+        match command:
+            case ["SET", key, value, "NX", "EX", _]:
+                if key in self.keys:
+                    return _resp(None)
+                self._write(key, None, value)
+                return b"+OK\r\n"
+            case ["SET", key, value, "EX", _]:
+                self._write(key, None, value)
+                return b"+OK\r\n"
+            case ["GET", key]:
+                return _resp(self.keys.get(key))
+            case ["MGET", *keys]:
+                return _resp([self.keys.get(key) for key in keys])
+            case ["DEL", key]:
+                there = key in self.keys
+                self._write(key, None, None)
+                return _resp(int(there))
+            case ["INCR", key]:
+                self._write(key, None, str(int(self.keys.get(key, "0")) + 1))
+                return _resp(int(self.keys[key]))
+            case ["EXPIRE", key, _]:
+                return _resp(int(key in self.keys))
+            case ["HSET" | "HSETNX" as word, key, name, value]:
+                new = name not in self.keys.get(key, {})
+                if new or word == "HSET":
+                    self._write(key, name, value)
+                return _resp(int(new))
+            case ["HMGET", key, *names]:
+                return _resp([self.keys.get(key, {}).get(name) for name in names])
+            case ["HGETALL", key]:
+                return _resp([part for pair in self.keys.get(key, {}).items() for part in pair])
+            case ["HSCAN", key, cursor, "COUNT", count]:
+                table, at = sorted(self.keys.get(key, {}).items()), int(cursor)
+                piece = table[at:at + int(count)]
+                more = at + len(piece) if at + len(piece) < len(table) else 0
+                return _resp([str(more), [part for pair in piece for part in pair]])
+            case ["XADD", key, "MAXLEN", "~", most, "*", *fields]:
+                stream = self.keys.setdefault(key, [])
+                last = stream[-1][0] if stream else (0, 0)
+                place = max((int(time.time() * 1000), 0), (last[0], last[1] + 1))
+                entry = (place, fields)
+                stream.append(entry)
+                self._undo.append((time.monotonic(),
+                                   lambda: stream.remove(entry) if entry in stream else None))
+                del stream[:-int(most)]
+                self.news.set()
+                self._tell("write", 0, key=key, event=fields[-1])
+                return _resp(_place(place))
+            case ["XRANGE", key, "+", "+", *_]:  # behind all entries there is none
+                return _resp([])
+            case ["XRANGE", key, low, "+", *count]:
+                found = [[_place(p), f] for p, f in self.keys.get(key, []) if p >= _read_place(low)]
+                return _resp(found[:int(count[1])] if count else found)
+            case ["XREVRANGE", key, "+", "-", "COUNT", "1"]:
+                return _resp([[_place(p), f] for p, f in self.keys.get(key, [])[-1:]])
+            case ["XREAD", "COUNT", count, *block, "STREAMS", key, after]:
+                self.seen.set()
+                if block:
+                    with trio.move_on_after(int(block[1]) / 1000):
+                        while not self._behind(key, after):
+                            self.news = self.news if not self.news.is_set() else trio.Event()
+                            await self.news.wait()
+                found = self._behind(key, after)[:int(count)]
+                return _resp([[key, found]] if found else None)
+        return b"-ERR unknown command\r\n"
+
+    def _behind(self, key: str, after: str) -> list[Any]:
+        stream, low = self.keys.get(key, []), _read_place(after)
+        found: list[Any] = []
+        for place, fields in reversed(stream):
+            if place <= low:
+                break
+            found.append([_place(place), fields])
+        return found[::-1]
+
+
+def _place(place: tuple[int, int]) -> str:
+    return f"{place[0]}-{place[1]}"
+
+
+def _read_place(text: str) -> tuple[int, int]:
+    ms, _, n = text.partition("-")
+    return int(ms), int(n or 0)
+
+
+def _resp(value: Any) -> bytes:
+    if value is None:
+        return b"*-1\r\n"
+    if isinstance(value, int):
+        return b":%d\r\n" % value
+    if isinstance(value, str):
+        return b"$%d\r\n%b\r\n" % (len(value.encode()), value.encode())
+    return b"*%d\r\n" % len(value) + b"".join(_resp(v) for v in value)
--- a/brackenlane/limits.py
+++ b/brackenlane/limits.py
@@ -104,10 +104,14 @@
 
     # Shared store
     store_wait: float = 0.3  # for one command, so that a submit is refused while it can still be sent again
-    store_retry: float = 0.3  # between two tries to connect
     store_block: float = 5.0  # for which the store may hold back a reply when there is no news
     store_log: int = 10_000  # events kept there
-    store_unshared: int = 1_000  # changes that wait for the store to come back
+    store_piece: int = 500  # entries or boxes asked for at once
+    store_unshared: int = 1_000  # changes that wait for the store to come back, or to be read back
+    store_tickets: int = 600  # for which the tickets of a span are remembered
+    store_filing: int = 10  # seconds for which one doorman alone writes the boxes of a file
+    store_filed: int = 2_592_000  # for which it is remembered that they are written; then it is done anew
+    unknown_purges: float = 0.8  # after a start; the store not heard by then, all objects count as purged
     claim_kept: int = 3_600  # whole seconds for which the id of a submit is remembered
 
     # Console
--- a/brackenlane/net/clients.py
+++ b/brackenlane/net/clients.py
@@ -113,6 +113,7 @@
                  nursery: trio.Nursery | None = None, counts: Counts | None = None) -> None:
         self._core, self._limits, self.board = core, limits, board
         self._claims, self._nursery = claims, nursery
+        self.ready: Callable[[], bool] = lambda: True  # asked by health besides whether a list has come
         self._classes = {c.name: c for c in core.settings.classes}
         self.counts = counts or Counts(self._classes)
         self._txns: set[str] = set()  # in hand
@@ -336,7 +337,7 @@
         if reading.target == HEALTHY:
             if reading.method != "GET":
                 raise BadRequest(HTTPStatus.METHOD_NOT_ALLOWED, "health takes GET", {"Allow": "GET"})
-            ready = self._core.fleet.told and not self.closing
+            ready = self._core.fleet.told and not self.closing and self.ready()
             return client.answer((200, {}, b"healthy\n") if ready else (
                 503, {"Retry-After": "1"}, b"not ready\n"))
         ask = read_ask(reading, self._classes, self._limits, self._core.new_id(), since)
--- a/brackenlane/settings/appliance.py
+++ b/brackenlane/settings/appliance.py
@@ -158,6 +158,18 @@
     last_list: Annotated[str, Field(max_length=255)] = ""  # a file beside this one; empty: none is kept
 
 
+class ColdStarts(Record):
+    """How a start spares the shared store and the resolver; figures a second are of all doormans."""
+
+    doormans: Annotated[int, Field(ge=1, le=10_000)] | None = None  # that share the store; settings.gateways
+    asks: Annotated[float, Field(ge=0.1, le=1e6)] = 500.0  # small questions that the store bears a second
+    loads: Annotated[float, Field(ge=0.1, le=1e6)] = 20.0  # whole lists that it bears a second
+    look_ups: Annotated[float, Field(ge=0.1, le=1e6)] = 1000.0  # look-ups that the resolver bears a second
+    trust: Annotated[float, Field(ge=0, le=31 * 86_400)] = 86_400.0  # an older last list waits for the store
+    patience: Annotated[float, Field(ge=0, le=600)] = 10.0  # so long; then an old list is better than none
+    ready: Literal["listed", "current"] = "listed"  # what /-/healthy waits for
+
+
 class ApplianceFile(Record):
     """The whole file."""
 
@@ -173,6 +185,7 @@
     boxes: Annotated[list[BoxRecord], Field(alias="box", max_length=10_000)] = []
     discover: Annotated[list[Discover], Field(max_length=64)] = []
     discovery: Discovery = Discovery()
+    coldstart: ColdStarts = ColdStarts()
 
     @model_validator(mode="after")
     def _fits(self) -> ApplianceFile:
--- a/brackenlane/store/resp.py
+++ b/brackenlane/store/resp.py
@@ -14,6 +14,8 @@
 class StoreAway(Exception):
     """The store cannot be reached or does not answer."""
 
+    slow = False  # somebody is there, but too late
+
 
 class StoreError(Exception):
     """The store says no."""
@@ -42,7 +44,9 @@
                         if not whole:
                             await self.close()
         except (trio.TooSlowError, trio.BrokenResourceError, OSError, hiredis.ProtocolError) as fault:
-            raise StoreAway(str(fault) or type(fault).__name__) from None
+            away = StoreAway(str(fault) or type(fault).__name__)
+            away.slow = isinstance(fault, trio.TooSlowError)
+            raise away from None
         for reply in replies:
             if isinstance(reply, hiredis.ReplyError):
                 raise StoreError(str(reply))
--- a/brackenlane/store/shared.py
+++ b/brackenlane/store/shared.py
@@ -1,19 +1,27 @@
 """The box list, drains, purges and claims that an appliance's doormans share.
 
-Redis holds a hash of the boxes, a stream of the events since, and a key for each claimed submit. A doorman
-loads the hash, then follows the stream from the place it had before, so it misses nothing in between.
+Redis holds a hash of the boxes, one of the orders, a stream of the events since, and a key for each claimed
+submit. A doorman that remembers a place in the stream reads what came behind it; else it loads the hashes, in
+pieces, when it is its turn, and then follows the stream from the place it had before, so it misses nothing in
+between.
 """
 
 from __future__ import annotations
 
+import hashlib
 import logging
+import random
 import time
-from collections import deque
+from collections import OrderedDict, deque
+from collections.abc import AsyncIterator
 from typing import Any
 
 import orjson
 import trio
 
+from brackenlane.coldstart.pace import Capacity, Pace
+from brackenlane.coldstart.phases import Event, Phase, Phases
+from brackenlane.coldstart.reading import NOWHERE, ask_from, continues, lacking, read_place
 from brackenlane.config import Endpoint
 from brackenlane.core.claims import Claim
 from brackenlane.discovery.merge import Definition, Order, Origin
@@ -31,15 +39,29 @@
     """One doorman's view of the store."""
 
     def __init__(self, endpoint: Endpoint, site: str, name: str, roster: Roster, purge_done: float,
-                 limits: Limits) -> None:
+                 limits: Limits, capacity: Capacity | None = None, phases: Phases | None = None,
+                 place: str = NOWHERE) -> None:
+        """place: up to where in the stream the roster knows all."""
         self._limits, self._roster, self._name, self._purge_done = limits, roster, name, purge_done
         self._boxes, self._events = f"brackenlane:{site}:boxes", f"brackenlane:{site}:events"
-        self._orders = f"brackenlane:{site}:orders"
+        self._orders, self._hint = f"brackenlane:{site}:orders", f"brackenlane:{site}:pace"
+        self._filed, self._tickets = f"brackenlane:{site}:filed:", f"brackenlane:{site}:loads:"
         self._claims = f"brackenlane:{site}:claim:"
         self._commands = Connection(endpoint, limits.store_wait)
         self._follows = Connection(endpoint, limits.store_wait)
-        self.reached = False
+        self.phases, self.place = phases or Phases(time.time()), place
+        self._chance = random.Random()
+        self.pace = Pace(name, capacity or Capacity(), self._chance)
+        self.fault = ""  # why the store is away
         self._unshared: deque[Change] = deque(maxlen=limits.store_unshared)
+        # Told to the store, not read back yet: a store that is set back may have lost it.
+        self._unread: OrderedDict[str, Change] = OrderedDict()
+        self._there: dict[str, Order] = {}  # orders that the store has
+
+    @property
+    def reached(self) -> bool:
+        """Whether all that the store has is known, and news are followed."""
+        return self.phases.phase is Phase.CURRENT
 
     async def claim(self, txn: str) -> Claim:
         """Claim a submit before it runs; the first to claim it is the only one ever to run it."""
@@ -82,8 +104,12 @@
 
     async def _send(self, change: Change) -> bool:
         first, event = change
+        text = orjson.dumps(event).decode()
+        self._unread[text] = change
+        if len(self._unread) > self._limits.store_unshared:
+            self._unread.popitem(last=False)
         added: list[str | int] = ["XADD", self._events, "MAXLEN", "~", self._limits.store_log, "*",
-                                  "event", orjson.dumps(event).decode()]
+                                  "event", text]
         try:
             await self._commands.call(*([["MULTI"], first, added, ["EXEC"]] if first else [added]))
         except (StoreAway, StoreError) as fault:
@@ -93,57 +119,170 @@
 
     async def run(self, own: list[Definition]) -> None:
         """Follow the store for good; while it is away the last list stands."""
+        filing = Filing(own, self._filed)
+        await trio.sleep(self.pace.first())
         while True:
+            refused = False
             try:
-                last = await self._load(own)
-                self.reached = True
-                while True:
-                    last = await self._follow(last)
-            except (StoreAway, StoreError) as fault:
-                log.warning("store: %s", fault)
-            self.reached = False
+                async with trio.open_nursery() as nursery:
+                    await self._catch_up(filing)
+                    nursery.start_soon(self._mend)
+                    while True:
+                        if not filing.done:
+                            await self._file(filing)
+                        await self._follow()
+            except* (StoreAway, StoreError) as faults:
+                self.fault = str(faults.exceptions[0])
+                refused = not isinstance(faults.exceptions[0], StoreAway) or faults.exceptions[0].slow
             await self._follows.close()
-            await trio.sleep(self._limits.store_retry)
+            self.phases.step(Event.LOST, time.time())
+            wait = self.pace.failed(refused)
+            log.warning("store: %s; again in %.1f s", self.fault, wait)
+            await trio.sleep(wait)
 
-    async def _load(self, own: list[Definition]) -> str:
-        """Add our own boxes where they are new, take in the list; the place of the last event before."""
+    async def _catch_up(self, filing: Filing) -> None:
+        """Take in what came behind our place, or the whole list when it is our turn."""
         while self._unshared:
             if not await self._send(self._unshared[0]):
                 raise StoreAway("what changed meanwhile can't be shared yet")
             self._unshared.popleft()
+        recent = time.time() - 2 * self._purge_done
+        asked = time.monotonic()
+        begin = ask_from(self.place, recent) if self.place != NOWHERE else "+"  # behind all: nothing asked
+        entries, [hint, filed] = await self._follows.call(
+            ["XRANGE", self._events, begin, "+", "COUNT", self._limits.store_piece],
+            ["MGET", self._hint, filing.key])
+        # Over half of what a submit would wait, the store is slow: all should spread more.
+        self.pace.answered(time.monotonic() - asked, self._limits.store_wait / 2)
+        self._obey(hint)
+        filing.done |= filed == "done"
+        page = entries
+        while len(page) >= self._limits.store_piece:
+            page = await self._news(str(page[-1][0]))
+            entries += page
+        if continues(self.place, {str(place) for place, _ in entries}):
+            self._roster.apply(self._roster.merge.confirm(time.time()))
+            self._read(entries)
+        else:
+            self.phases.step(Event.ASKED, time.time())
+            await self._turn()
+            await self._load(recent)
+        self.fault = ""
+        self.phases.step(Event.READ, time.time())
+
+    def _obey(self, hint: Any) -> None:
+        """What the store bears, if it says so itself."""
+        told = _read_json(hint) if hint else None
+        if isinstance(told, dict):
+            try:
+                self.pace.capacity = self.pace.capacity.hinted(float(told["asks"]), float(told["loads"]))
+            except (KeyError, TypeError, ValueError) as fault:
+                log.warning("%s can't be obeyed: %s", self._hint, fault)
+
+    async def _turn(self) -> None:
+        """Wait until a whole list may be loaded: tickets for each span of time are drawn at the store."""
+        if self.pace.capacity.doormans == 1:
+            return
+        bucket = self.pace.bucket(time.time())
+        while True:
+            key = f"{self._tickets}{bucket}"
+            ticket, _ = await self._follows.call(["INCR", key], ["EXPIRE", key, self._limits.store_tickets])
+            if not (ahead := self.pace.ahead(int(ticket))):
+                return await trio.sleep(self.pace.turn(bucket, int(ticket), time.time()))
+            bucket += ahead
+
+    async def _load(self, recent: float) -> None:
+        """The whole list, in pieces; what is told meanwhile stands behind the place that is read first."""
         newest = (await self._follows.call(["XREVRANGE", self._events, "+", "-", "COUNT", 1]))[0]
-        last = str(newest[0][0]) if newest else "0-0"
-        for box in own:
-            [new] = await self._follows.call(
-                ["HSETNX", self._boxes, box.id, orjson.dumps(box_json(box)).decode()])
-            if new:
-                await self.change(box)
-        recent = int((time.time() - 2 * self._purge_done) * 1000)
-        orders, flat, events = await self._follows.call(
-            ["HGETALL", self._orders], ["HGETALL", self._boxes],
-            ["XRANGE", self._events, f"{max(0, recent)}-0", "+"])
-        for text in orders[1::2]:  # before the boxes: a drained one is never told as serving
+        place = str(newest[0][0]) if newest else NOWHERE
+        self._there = {}
+        async for text in self._scan(self._orders):  # before the boxes: a drained one never serves
             self._take({"order": _read_json(text)})
-        for text in flat[1::2]:
+        async for text in self._scan(self._boxes):
             self._take({"box": _read_json(text)})
-        for _, fields in events:
+        [entries] = await self._follows.call(["XRANGE", self._events, f"{max(0, int(recent * 1000))}-0", "+"])
+        for _, fields in entries:
             event = _read_event(fields)
             if "purge" in event:
                 self._take(event)
         self._roster.apply(self._roster.merge.forget(time.time()))
-        return last
+        self.place = place
+
+    async def _scan(self, key: str) -> AsyncIterator[Any]:
+        """The values of a hash, piece by piece; one that is changed meanwhile may come twice."""
+        cursor = "0"
+        while True:
+            [(cursor, flat)] = await self._follows.call(
+                ["HSCAN", key, cursor, "COUNT", self._limits.store_piece])
+            for value in flat[1::2]:
+                yield value
+            if str(cursor) == "0":
+                return
+
+    def _read(self, entries: list[Any]) -> None:
+        """Entries of the stream; of those before our place only purges still count."""
+        for place, fields in entries:
+            event = _read_event(fields)
+            self._unread.pop(_event_text(fields), None)
+            known = read_place(str(place)) <= read_place(self.place)
+            if not known or "purge" in event:
+                self._take(event)
+            if not known:
+                self.place = str(place)
 
-    async def _follow(self, last: str) -> str:
-        """Wait for news; the place of the last event taken in."""
-        block = self._limits.store_block
+    async def _news(self, place: str, *block: str | int) -> list[Any]:
+        """Entries behind a place; block: how long the store may hold back a reply while there are none."""
         [news] = await self._follows.call(
-            ["XREAD", "BLOCK", int(block * 1000), "STREAMS", self._events, last],
-            wait=block + self._limits.store_wait)
-        for _, entries in news or ():
-            for place, fields in entries:
-                self._take(_read_event(fields))
-                last = str(place)
-        return last
+            ["XREAD", "COUNT", self._limits.store_piece, *block, "STREAMS", self._events, place],
+            wait=(int(block[1]) / 1000 if block else 0.0) + self._limits.store_wait)
+        return [entry for _, entries in news or () for entry in entries]
+
+    async def _follow(self) -> None:
+        """Wait for news and take them in."""
+        self._read(await self._news(self.place, "BLOCK", int(self._limits.store_block * 1000)))
+
+    async def _mend(self) -> None:
+        """Tell a store that was set back what it has lost of ours, and the orders that it lacks."""
+        # All who remember see it at once: whoever comes first in the window tells the others by it.
+        await trio.sleep(self._chance.uniform(0.0, self.pace.window))
+        again = list(self._unread.values())
+        self._unread.clear()
+        for change in again:
+            if not await self._send(change):
+                raise StoreAway("what the store has lost can't be shared again yet")
+        mine = self._roster.merge.orders
+        if not (missing := lacking(mine, self._there, Order.beats)):
+            return
+        [texts] = await self._commands.call(["HMGET", self._orders, *missing])
+        for server, text in zip(missing, texts, strict=True):
+            try:
+                there = read_order(_read_json(text))[1] if text else None
+            except ValueError:
+                there = None
+            if there:
+                self._there[server] = there
+            if server in mine and mine[server].beats(there) and not await self.order(server, mine[server]):
+                raise StoreAway("orders that the store has lost can't be shared again yet")
+
+    async def _file(self, filing: Filing) -> None:
+        """Write those boxes of our file that the store has not, unless another is about to."""
+        mine, value = await self._follows.call(
+            ["SET", filing.key, self._name, "NX", "EX", self._limits.store_filing], ["GET", filing.key])
+        filing.done = value == "done"
+        if mine != "OK":
+            return
+        [there] = await self._follows.call(["HMGET", self._boxes, *(box.id for box in filing.own)])
+        writes: list[list[str | int]] = []
+        for box, known in zip(filing.own, there, strict=True):
+            if known is None:
+                what = box_json(box)
+                writes += [["HSET", self._boxes, box.id, orjson.dumps(what).decode()],
+                           ["XADD", self._events, "MAXLEN", "~", self._limits.store_log, "*",
+                            "event", orjson.dumps({"box": what}).decode()]]
+        # All or nothing: who dies between two boxes would leave one that nobody ever tells the others of.
+        await self._follows.call(
+            ["MULTI"], *writes, ["SET", filing.key, "done", "EX", self._limits.store_filed], ["EXEC"])
+        filing.done = True
 
     def _take(self, event: dict[str, Any]) -> None:
         """One event; guards against what another program may have written there."""
@@ -151,7 +290,10 @@
             if "box" in event:
                 self._roster.define(Origin.STORE, read_box(event["box"]))
             elif "order" in event:
-                self._roster.order(*read_order(event["order"]))
+                server, order = read_order(event["order"])
+                if order.beats(self._there.get(server)):
+                    self._there[server] = order
+                self._roster.order(server, order)
             elif "purge" in event:
                 told = event["purge"]
                 self._roster.purge(str(told["object"]), int(told["group"]), int(told["time"]) / 1000)
@@ -166,6 +308,18 @@
         return None
 
 
+class Filing:
+    """The operator's file in the store: its boxes are written by one of all who have the same file."""
+
+    def __init__(self, own: list[Definition], prefix: str) -> None:
+        self.own, self.done = own, not own
+        self.key = prefix + hashlib.sha256(orjson.dumps([box_json(box) for box in own])).hexdigest()[:32]
+
+
+def _event_text(fields: list[Any]) -> str:
+    return str(dict(zip(fields[::2], fields[1::2], strict=False)).get("event", ""))
+
+
 def _read_event(fields: list[Any]) -> dict[str, Any]:
     found = _read_json(dict(zip(fields[::2], fields[1::2], strict=False)).get("event", ""))
     return found if isinstance(found, dict) else {}
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -9,22 +9,21 @@
 import socket
 import subprocess
 import sys
-import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, ParamSpec
 
 import h11
-import hiredis
 import orjson
 import trio
 
 from brackenlane.lab import site
 from brackenlane.lab.standins.box import Asked, Box, Door, Reply, data
 from brackenlane.lab.standins.dns import DnsServer
+from brackenlane.lab.standins.redis import Redis
 
-__all__ = ["Asked", "Box", "Reply", "data"]
+__all__ = ["Asked", "Box", "Redis", "Reply", "data"]
 
 PORTS = itertools.count()  # below the kernel's own range, a thousand for each worker
 ROOT = Path(__file__).parent.parent
@@ -200,92 +199,6 @@
         yield running
 
 
-class Redis(Door):
-    """As much of Redis as the program uses: strings with NX, a hash, a stream, transactions."""
-
-    def __init__(self) -> None:
-        self.keys: dict[str, Any] = {}
-        self.news, self.seen = trio.Event(), trio.Event()
-
-    async def _serve(self, stream: trio.SocketStream) -> None:
-        reader = hiredis.Reader(encoding="utf-8")
-        queue: list[list[str]] | None = None
-        with contextlib.suppress(trio.BrokenResourceError):
-            while got := await stream.receive_some(65536):
-                reader.feed(got)
-                while (command := reader.gets()) is not False:
-                    word = command[0]
-                    if word == "MULTI":
-                        queue, reply = [], b"+OK\r\n"
-                    elif word == "EXEC":
-                        assert queue is not None
-                        reply = b"*%d\r\n" % len(queue) + b"".join([await self._do(c) for c in queue])
-                        queue = None
-                    elif queue is not None:
-                        queue.append(command)
-                        reply = b"+QUEUED\r\n"
-                    else:
-                        reply = await self._do(command)
-                    await stream.send_all(reply)
-
-    async def _do(self, command: list[str]) -> bytes:
-        match command:
-            case ["SET", key, value, "NX", "EX", _]:
-                if key in self.keys:
-                    return _resp(None)
-                self.keys[key] = value
-                return b"+OK\r\n"
-            case ["DEL", key]:
-                return _resp(int(self.keys.pop(key, None) is not None))
-            case ["HSET" | "HSETNX" as word, key, name, value]:
-                table = self.keys.setdefault(key, {})
-                new = name not in table
-                if new or word == "HSET":
-                    table[name] = value
-                return _resp(int(new))
-            case ["HGETALL", key]:
-                return _resp([part for pair in self.keys.get(key, {}).items() for part in pair])
-            case ["XADD", key, "MAXLEN", "~", _, "*", *fields]:
-                stream = self.keys.setdefault(key, [])
-                last = stream[-1][0] if stream else (0, 0)
-                place = max((int(time.time() * 1000), 0), (last[0], last[1] + 1))
-                stream.append((place, fields))
-                self.news.set()
-                return _resp(_place(place))
-            case ["XRANGE", key, low, "+"]:
-                return _resp([[_place(p), f] for p, f in self.keys.get(key, []) if p >= _read_place(low)])
-            case ["XREVRANGE", key, "+", "-", "COUNT", "1"]:
-                return _resp([[_place(p), f] for p, f in self.keys.get(key, [])[-1:]])
-            case ["XREAD", "BLOCK", wait, "STREAMS", key, after]:
-                self.seen.set()
-                with trio.move_on_after(int(wait) / 1000):
-                    while not [1 for p, _ in self.keys.get(key, []) if p > _read_place(after)]:
-                        self.news = trio.Event()
-                        await self.news.wait()
-                found = [[_place(p), f] for p, f in self.keys.get(key, []) if p > _read_place(after)]
-                return _resp([[key, found]] if found else None)
-        return b"-ERR unknown command\r\n"
-
-
-def _place(place: tuple[int, int]) -> str:
-    return f"{place[0]}-{place[1]}"
-
-
-def _read_place(text: str) -> tuple[int, int]:
-    ms, _, n = text.partition("-")
-    return int(ms), int(n or 0)
-
-
-def _resp(value: Any) -> bytes:
-    if value is None:
-        return b"*-1\r\n"
-    if isinstance(value, int):
-        return b":%d\r\n" % value
-    if isinstance(value, str):
-        return b"$%d\r\n%b\r\n" % (len(value.encode()), value.encode())
-    return b"*%d\r\n" % len(value) + b"".join(_resp(v) for v in value)
-
-
 @contextlib.asynccontextmanager
 async def appliance(tmp_path: Path, boxes: list[Box], resolver: DnsServer | None = None,
                     redis: Redis | None = None, name: str = "a1",
--- /dev/null
+++ b/tests/test_coldstart.py
@@ -0,0 +1,173 @@
+"""The cold start's decisions: tables, properties, and a thousand doormans in virtual time."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from brackenlane.coldstart.pace import LONGEST, Capacity, Pace, early, jittered, place
+from brackenlane.coldstart.phases import Event, Phase, Phases
+from brackenlane.coldstart.reading import NOWHERE, ask_from, continues, lacking, read_place
+from brackenlane.discovery.merge import Order
+from brackenlane.lab.fleet.virtual import Fleet, Store, peak
+
+CAPACITY = Capacity(1000, asks=500.0, loads=20.0)
+
+
+def eager(name: str, capacity: Capacity, chance: random.Random) -> Pace:
+    """The fault that the checks must find: no place in a window, and always the same wait after a failure."""
+    pace = Pace(name, capacity, chance)
+    pace.first = lambda: 0.0  # type: ignore[method-assign]
+    pace.failed = lambda refused: 0.3  # type: ignore[method-assign]
+    pace.ahead = lambda ticket: 0  # type: ignore[method-assign]
+    pace.turn = lambda bucket, ticket, now: 0.0  # type: ignore[method-assign]
+    return pace
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_thousand_at_once(seed: int) -> None:
+    """All start in one moment with a last list: never more than is stated, all current in twice the least."""
+    fleet = Fleet(1000, store := Store(CAPACITY), seed)
+    fleet.run(60.0)
+    assert len(fleet.current) == 1000 and not store.refused
+    assert peak(store.asked) <= 1.1 * CAPACITY.asks
+    assert max(fleet.current.values()) <= 2 * 1000 / CAPACITY.asks
+    assert peak(store.asked, 0.05) <= 3 * 0.05 * CAPACITY.asks
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_whole_lists_by_ticket(seed: int) -> None:
+    """A tenth has no last list: whole lists keep to what is stated, and one alone waits for nobody."""
+    fleet = Fleet(1000, store := Store(CAPACITY), seed, remembers=0.9)
+    fleet.run(60.0)
+    assert len(fleet.current) == 1000
+    assert peak(store.loaded) <= 2.1 * CAPACITY.loads  # two seconds' tickets may be used side by side
+    least = len(store.loaded) / CAPACITY.loads
+    assert max(fleet.current.values()) <= 2 * least + 1000 / CAPACITY.asks
+    alone = Fleet(1, Store(CAPACITY), seed, remembers=0.0)
+    alone.run(60.0)
+    assert alone.current[0] < 1000 / CAPACITY.asks + 0.2
+
+
+def test_away_for_a_minute() -> None:
+    """A store that was away for a minute meets no second wave as it comes back; all are current soon."""
+    store = Store(CAPACITY, away=lambda now: 20.0 <= now < 80.0)
+    fleet = Fleet(1000, store, 1)
+    fleet.run(20.0)
+    fleet.lose()
+    fleet.run(110.0)
+    back = [at for at in store.asked if at >= 80.0]
+    assert len(fleet.current) == 1000
+    assert peak(back) <= CAPACITY.asks
+    assert peak([at for at in store.asked if 40.0 <= at < 80.0]) <= CAPACITY.asks
+    assert max(fleet.current.values()) < 80.0 + 6 * CAPACITY.window
+
+
+@pytest.mark.parametrize("share", [0.5, 0.9])
+def test_refused_in_part(share: float) -> None:
+    """Half, or nine in ten, are refused for 30 s: tries stay at what is stated, and all are current after."""
+    chance = random.Random(7)
+    store = Store(CAPACITY, refuses=lambda now: now < 30.0 and chance.random() < share)
+    fleet = Fleet(1000, store, 3)
+    fleet.run(90.0)
+    assert len(fleet.current) == 1000
+    assert peak(store.asked) <= 1.1 * CAPACITY.asks
+    assert max(fleet.current.values()) < 60.0
+
+
+def test_in_two_halves() -> None:
+    """Power comes back in two halves 5 s apart: the second meets a place of its own as the first did."""
+    fleet = Fleet(1000, store := Store(CAPACITY), 1, starts=lambda n: 5.0 * (n % 2))
+    fleet.run(60.0)
+    assert len(fleet.current) == 1000 and not store.refused and peak(store.asked) <= CAPACITY.asks
+
+
+def test_the_planted_wave_is_found() -> None:
+    """Without places, jitter and tickets the same checks see the wave."""
+    fleet = Fleet(1000, store := Store(CAPACITY), 1, remembers=0.9, pace=eager)
+    fleet.run(60.0)
+    assert peak(store.asked) > 1.1 * CAPACITY.asks and store.refused > 100
+    assert peak(store.loaded) > 2.1 * CAPACITY.loads
+
+
+def test_places_are_even() -> None:
+    """Names of one pattern are spread evenly, the same each time, and differently for another thing."""
+    found = sorted(place(f"branch-{n}", "ask") for n in range(1000))
+    assert all(abs(at - n / 1000) < 0.06 for n, at in enumerate(found))
+    assert place("branch-1", "ask") == place("branch-1", "ask") != place("branch-1", "srv")
+
+
+@given(st.integers(1, 50), st.integers(0, 2**32))
+def test_waits_are_bounded(failures: int, seed: int) -> None:
+    """However often it failed: a wait from 0 to its bound, windows from one to their longest."""
+    pace = Pace("a", CAPACITY, random.Random(seed))
+    for _ in range(failures):
+        assert pace.window <= pace.failed(failures % 2 == 0) <= 5 * LONGEST * CAPACITY.window
+        assert 1 <= pace.stretch <= LONGEST
+    pace.answered(0.01, 0.15)
+    assert pace.failures == 0
+    for _ in range(20):
+        pace.answered(0.01, 0.15)
+    assert pace.stretch == 1.0
+    assert 0 <= jittered(failures, 0.3, 5.0, random.Random(seed)) <= 5.0
+    assert 9.0 <= early(10.0, random.Random(seed)) <= 10.0
+
+
+@pytest.mark.parametrize(("loads", "ticket", "ahead", "turn"), [
+    (20.0, 1, 0, 0.0), (20.0, 20, 0, 0.95), (20.0, 21, 1, None), (20.0, 41, 2, None),
+    (0.1, 1, 0, 0.0), (0.1, 2, 1, None), (1.5, 1, 0, 0.0), (1.5, 3, 2, None)])
+def test_tickets(loads: float, ticket: int, ahead: int, turn: float | None) -> None:
+    """The first of a span load in it, one after the other; the others draw where it is their turn."""
+    pace = Pace("a", Capacity(9, loads=loads), random.Random(1))
+    assert pace.ahead(ticket) == ahead
+    now = 1000.0
+    if turn is not None:
+        assert pace.turn(pace.bucket(now), ticket, now) == pytest.approx(turn)
+
+
+def test_a_hint_of_the_store() -> None:
+    """What the store says it bears holds; what can't be obeyed is refused."""
+    assert CAPACITY.hinted(100.0, 2.0).window == 10.0
+    for asks, loads in ((0.0, 1.0), (1.0, -1.0), (float("nan"), 1.0), (1.0, float("inf"))):
+        with pytest.raises(ValueError):
+            CAPACITY.hinted(asks, loads)
+
+
+def test_reading() -> None:
+    """A place continues only while its very entry is there; orders that the store lacks are found."""
+    assert continues("5-1", {"5-1", "6-0"}) and not continues("5-1", {"6-0"})
+    assert not continues(NOWHERE, {"0-0"}) and not continues("5-1", set())
+    assert ask_from("5000-1", 9.0) == "5000-1" and ask_from("9000-1", 5.0) == "5000-0"
+    assert ask_from("10000-1", 9.5) == "9500-0"  # by number, not by letter
+    for text in ("", "5", "5-", "-1", "a-1", "5-1-1", "²-1", "1" * 50 + "-1"):
+        with pytest.raises(ValueError):
+            read_place(text)
+    old, new = Order(True, 1.0, "a"), Order(False, 2.0, "b")
+    assert lacking({"x": new, "y": old, "z": old}, {"x": old, "y": new}, Order.beats) == ["x", "z"]
+
+
+@given(st.lists(st.sampled_from(list(Event)), max_size=30))
+def test_phases(events: list[Event]) -> None:
+    """Whatever comes in whatever order: heard only after all was read, and a loss never looks current."""
+    phases, now = Phases(0.0), 0.0
+    for event in events:
+        now += 1
+        old = phases.phase
+        new = phases.step(event, now)
+        assert (new is Phase.CURRENT) == (event is Event.READ or (
+            old is Phase.CURRENT and event in (Event.RECALL, Event.ASKED)))
+        assert (phases.since == now) == (new is not old)
+        if event is Event.LOST:
+            assert new not in (Phase.LOADING, Phase.CURRENT)
+    assert phases.heard == (Event.READ in events)
+
+
+def test_a_broken_load_falls_back() -> None:
+    """What a load began from is what is served when it breaks off, a last list taken beside it included."""
+    phases = Phases(0.0)
+    assert phases.step(Event.ASKED, 1.0) is Phase.LOADING
+    phases.step(Event.RECALL, 2.0)
+    assert phases.step(Event.LOST, 3.0) is Phase.RECALLED
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -269,15 +269,16 @@
 
 def test_last_list_cut(tmp_path: Path) -> None:
     """A last list reads back as it was; cut or changed at any byte it is refused, never half believed."""
-    whole = lastlist.dump(MEMORY, 7.0)
-    assert lastlist.parse(whole) == (MEMORY, 7.0)
+    kept = lastlist.Kept(MEMORY, 7.0, "17-3", True)
+    whole = lastlist.dump(kept)
+    assert lastlist.parse(whole) == kept
     for place in range(len(whole)):
         for damaged in (whole[:place], whole[:place] + bytes([whole[place] ^ 1]) + whole[place + 1:]):
             try:
                 found = lastlist.parse(damaged)
             except ValueError:
                 continue
-            assert found == (MEMORY, 7.0), (place, damaged)
+            assert found == kept, (place, damaged)
     path = tmp_path / "last.json"
     lastlist.save(path, whole)
-    assert lastlist.load(path) == (MEMORY, 7.0) and lastlist.load(tmp_path / "none.json") is None
+    assert lastlist.load(path) == kept and lastlist.load(tmp_path / "none.json") is None
