Gateways that know their place join a cold box one by one; the rig tells whose a request is

Ruled out: the store (40 of 40 current within 2 s), health, connections. Change: cold.rota; where a gateway's place among its mates is told (all doormans of one location, or settings.mate), as many as the burst pays for share a box, from a place of its name. On the platform nothing tells a place: unchanged there. The rig: in pairs the store told all doormans the links of whoever filed first, so requests were booked on the wrong doorman; one link for each box now, whose a connection is is read from proc(5).

--- a/brackenlane/lab/fleet/boxes.py
+++ b/brackenlane/lab/fleet/boxes.py
@@ -7,8 +7,10 @@
 from __future__ import annotations
 
 import contextlib
+import math
 import random
 import time
+from collections import deque
 from dataclasses import dataclass, field
 
 import trio
@@ -16,7 +18,9 @@
 from brackenlane.lab.fleet.record import Record
 from brackenlane.lab.standins.box import Door
 
-FILL = 0.02  # seconds that a fill takes besides what its source needs
+FILL = 0.02  # seconds that a fill takes besides its transfer
+FACTOR = 3.0  # times its ability, beyond which, with the slack of chance, a cold box falls
+DOWN = 5.0  # seconds for which one that fell is away
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,13 +55,34 @@
     strength: Strength = field(default_factory=Strength)
     started: float = field(default_factory=time.monotonic)
     mute: bool = False  # accepts, and says nothing
+    fallen: float = -math.inf  # when it was pushed over last
+    recent: deque[float] = field(default_factory=deque)  # requests of the last second, while cold
     copies: dict[str, int] = field(default_factory=dict)  # when the origin gave each out, Unix ms
     filling: dict[str, trio.Event] = field(default_factory=dict)
     purged: dict[str, int] = field(default_factory=dict)
     busy: int = 0
-    fills: int = 0  # made at this box as a source
     chance: random.Random = field(default_factory=lambda: random.Random(1))
 
+    def _falls(self) -> bool:
+        """Whether a request more pushes it over: by far more in a second than a cold box works off."""
+        now, s = time.monotonic(), self.strength
+        if now < self.fallen + DOWN:
+            return True
+        if now > self.started + s.ramp:
+            return False
+        self.recent.append(now)
+        while self.recent[0] < now - 1.0:
+            self.recent.popleft()
+        n = FACTOR * s.ability(now - self.started) / s.work
+        if len(self.recent) <= n + 3 * math.sqrt(n) + 3:
+            return False
+        self.fallen = now
+        self.record.add("fall", box=self.id)
+        self.recent.clear()
+        self.restart()
+        self.started = now + DOWN
+        return True
+
     def restart(self) -> None:
         """The process starts anew: cold, and with nothing."""
         self.started = time.monotonic()
@@ -66,6 +91,8 @@
 
     async def _serve(self, stream: trio.SocketStream) -> None:
         who = stream.socket.getpeername()[1]
+        if time.monotonic() < self.fallen + DOWN:
+            return await trio.aclose_forcefully(stream)
         self.record.add("handshake", box=self.id, peer=who)
         buffer, turn = b"", trio.Lock()
         async with trio.open_nursery() as nursery:
@@ -96,6 +123,8 @@
 
     async def _answer(self, stream: trio.SocketStream, turn: trio.Lock, wire_id: str,
                       fields: dict[str, str]) -> None:
+        if self._falls():
+            return await trio.aclose_forcefully(stream)
         obj, cls, source = fields["path"], fields["queue"], fields.get("miss", "")
         self.record.add("got", box=self.id, id=wire_id, cls=cls, obj=obj, miss=source)
         ability = self.strength.ability(time.monotonic() - self.started)
@@ -119,6 +148,19 @@
         head = f"{wire_id} data entity=e{issued},issued={issued},detail={detail} {len(body)}\r\n"
         await self._say(stream, turn, head.encode() + body + b"\r\n")
 
+    async def supply(self, obj: str, by: str) -> bool:
+        """Give one copy to another box; False if it can't now."""
+        self.record.add("fill", box=self.id, obj=obj, by=by)
+        ability = self.strength.ability(time.monotonic() - self.started)
+        if self._falls() or self.busy >= 4 * ability:
+            return False
+        self.busy += 1
+        try:
+            await trio.sleep(FILL + self.strength.work * max(1.0, self.busy / ability))
+        finally:
+            self.busy -= 1
+        return True
+
     async def _copy(self, obj: str, fields: dict[str, str]) -> tuple[int, str] | None:
         """A copy that will do, kept or filled: when the origin gave it out, and how it came."""
         within, source = int(fields.get("within", "0")), self.all.get(fields.get("miss", ""))
@@ -136,9 +178,8 @@
             within = within and max(within, 1000)
         done = self.filling[obj] = trio.Event()
         try:
-            self.record.add("fill", box=source.id, obj=obj, by=self.id)
-            source.fills += 1
-            await trio.sleep(FILL)
+            if not await source.supply(obj, self.id):
+                return None
             if source.role == "origin":
                 issued = int(time.time() * 1000)
             else:
--- a/brackenlane/lab/fleet/doormans.py
+++ b/brackenlane/lab/fleet/doormans.py
@@ -9,6 +9,7 @@
 import socket
 import subprocess
 import sys
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -51,6 +52,25 @@
     raise OSError("no free port is left")
 
 
+def owner(port: int, doormans: Sequence[Doorman]) -> int:
+    """The number of the doorman that a connection comes from, by its port (proc(5)); -1: nobody's."""
+    end = f" 0100007F:{port:04X} "
+    inode = ""
+    with open("/proc/net/tcp") as table:
+        for line in table:
+            if end in line[:40] and line[6:].startswith(end.strip()):
+                inode = line.split()[9]
+                break
+    for doorman in doormans:
+        if inode and doorman.alive and doorman.process:
+            folder = Path(f"/proc/{doorman.process.pid}/fd")
+            for entry in folder.iterdir():
+                with contextlib.suppress(OSError):
+                    if os.readlink(entry) == f"socket:[{inode}]":
+                        return doorman.number
+    return -1
+
+
 def _die_with_the_rig() -> None:
     """Whatever ends the rig ends the process (prctl(2), PR_SET_PDEATHSIG)."""
     ctypes.CDLL(None).prctl(1, signal.SIGKILL)
@@ -90,7 +110,7 @@
         return self.process is not None and self.process.poll() is None
 
     def write(self, boxes: list[tuple[str, str, int]], store: int, *, doormans: int, purge_done: float,
-              weight: float, coldstart: str) -> None:
+              weight: float, wider: float, coldstart: str) -> None:
         """The operator's file: boxes as (id, role, port)."""
         lines = [f'name = "{self.name}"', f'http = "127.0.0.1:{self.http}"', f'dns = "127.0.0.1:{self.dns}"',
                  'zone = "caches.test."', f'console = "{self.name}.sock"', f'redis = "127.0.0.1:{store}"',
@@ -103,7 +123,7 @@
         for box, role, port in boxes:
             zone = "branch" if role == "edge" else "head-office"
             lines.append(f'[[box]]\nid = "{box}"\nhost = "127.0.0.1"\nport = {port}\nzone = "{zone}"\n'
-                         f'role = "{role}"\nweight = {weight}')
+                         f'role = "{role}"\nweight = {weight * (1 if role == "edge" else wider)}')
         lines.append(f'[discovery]\nlast_list = "{self.last_list.name}"\n{coldstart}')
         (self.folder / f"{self.name}.toml").write_text("\n".join(lines))
 
--- a/brackenlane/lab/fleet/judges.py
+++ b/brackenlane/lab/fleet/judges.py
@@ -100,7 +100,12 @@
     return worst, when
 
 
-def spared(record: Record, share: float, ramp: float, per_second: float, factor: float) -> Faults:
+def standing(record: Record) -> Faults:
+    """No box was pushed over, by its own account of what it got."""
+    return [f"{event.what['box']} fell at {event.at:.2f} s" for event in record.of("fall")]
+
+
+def spared(record: Record, share: float, ramp: float, factor: float, per_second: dict[str, float]) -> Faults:
     """No box that started lately gets more in any second than it bears, with the slack of chance.
 
     share, ramp: of its ability at its start, seconds to the whole; per_second: requests that it does a second
@@ -114,12 +119,12 @@
         if event.kind == "box_start":
             started[box], got[box] = event.at, []
             continue
-        if box not in started or event.at > started[box] + ramp:
+        if box not in started or box not in per_second or event.at > started[box] + ramp:
             continue
         times = got[box]
         times.append(event.at)
         recent = sum(at > event.at - 1.0 for at in times[-4000:])
-        n = factor * per_second * (share + (1 - share) * (event.at - started[box]) / ramp)
+        n = factor * per_second[box] * (share + (1 - share) * (event.at - started[box]) / ramp)
         if recent > n + 3 * n ** 0.5 + 3:
             age = event.at - started[box]
             faults.append(f"{box} got {recent} in a second at age {age:.1f} s; it bears {n:.0f}")
--- a/brackenlane/lab/fleet/links.py
+++ b/brackenlane/lab/fleet/links.py
@@ -1,6 +1,7 @@
-"""The way from one doorman to one other party, led through a proxy that can be made to fail.
+"""The way from doormans to one other party, led through a proxy that can be made to fail.
 
-Every fault is of this link alone. Times are seconds, sizes bytes.
+Every fault is of one pair, doorman and party, or of all pairs with that party. Times are seconds, sizes
+bytes.
 """
 
 from __future__ import annotations
@@ -31,20 +32,23 @@
 
 
 SOUND = Fault()
-Heard = Callable[[bool, re.Match[bytes]], None]
+ALL = -1  # whoever has no fault of his own
+Heard = Callable[[int, bool, re.Match[bytes]], None]
 
 
 class Link:
-    """A listener of its own; connections to it are passed on."""
+    """A listener of its own; connections to it are passed on, and fail by whose they are."""
 
-    def __init__(self, target: int, words: re.Pattern[bytes] | None = None,
-                 heard: Heard = lambda *_: None) -> None:
-        """words: what is looked for in passing; heard(up, match) is told of each as it arrives."""
+    def __init__(self, target: int, words: re.Pattern[bytes] | None = None, heard: Heard = lambda *_: None,
+                 owner: Callable[[int], int] = lambda _: ALL) -> None:
+        """words: what is looked for in passing; heard(who, up, match) is told of each as it arrives.
+
+        owner: whose a connection is, by the port that it comes from.
+        """
         self.target, self.port = target, 0
-        self._words, self._heard = words, heard
-        self.fault = SOUND
-        self.connections = 0
-        self._open: set[trio.SocketStream] = set()
+        self._words, self._heard, self._owner = words, heard, owner
+        self._faults: dict[int, Fault] = {}
+        self._open: dict[trio.SocketStream, int] = {}
         self._changed = trio.Event()
         self._listening: trio.CancelScope | None = None
 
@@ -64,64 +68,72 @@
                 await trio.serve_listeners(self._pass_on, [listener])
         self._nursery.start_soon(accept)
 
-    async def set(self, **changes: bool | float | int) -> None:
+    def fault(self, who: int = ALL) -> Fault:
+        """How it fails for one party."""
+        return self._faults.get(who, self._faults.get(ALL, SOUND))
+
+    async def set(self, who: int = ALL, **changes: bool | float | int) -> None:
         """Fail from now on, or no more; what is open stays, but that `refuse` ends it."""
-        self.fault = replace(self.fault, **changes)  # type: ignore[arg-type]
+        fault = self._faults[who] = replace(self.fault(who), **changes)  # type: ignore[arg-type]
         self._changed.set()
         self._changed = trio.Event()
-        if self.fault.refuse and self._listening:
-            self._listening.cancel()
-            self._listening = None
-            await self.reset()
-        elif not self.fault.refuse and self._listening is None:
+        if fault.refuse:
+            if who == ALL and self._listening:
+                self._listening.cancel()
+                self._listening = None
+            await self.reset(who)
+        elif who == ALL and self._listening is None:
             await self._listen()
 
-    async def heal(self) -> None:
+    async def heal(self, who: int = ALL) -> None:
         """Sound again; what was held back by a cut one way is lost with its connection."""
-        held = not (self.fault.up and self.fault.down)
-        self.fault = replace(SOUND, refuse=self.fault.refuse)
-        if held:
-            await self.reset()
-        await self.set(refuse=False)
-
-    async def reset(self) -> None:
-        """End all that is open, as a lost peer's system does."""
-        for stream in list(self._open):
-            with contextlib.suppress(OSError):
-                stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-            await trio.aclose_forcefully(stream)
+        fault = self.fault(who)
+        if not (fault.up and fault.down):
+            await self.reset(who)
+        self._faults[who] = SOUND
+        await self.set(who, refuse=False)
+
+    async def reset(self, who: int = ALL) -> None:
+        """End all that is open of one party, or of all, as a lost peer's system does."""
+        for stream, whose in list(self._open.items()):
+            if who in (ALL, whose):
+                with contextlib.suppress(OSError):
+                    stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                await trio.aclose_forcefully(stream)
 
     async def _pass_on(self, near: trio.SocketStream) -> None:
-        self.connections += 1
         with contextlib.suppress(OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            who = self._owner(near.socket.getpeername()[1])
+            if self.fault(who).refuse:
+                return await trio.aclose_forcefully(near)
             async with near, await trio.open_tcp_stream("127.0.0.1", self.target) as far:
-                self._open |= {near, far}
+                self._open |= {near: who, far: who}
                 try:
                     async with trio.open_nursery() as nursery:
-                        nursery.start_soon(self._pump, near, far, True, nursery.cancel_scope)
-                        nursery.start_soon(self._pump, far, near, False, nursery.cancel_scope)
+                        nursery.start_soon(self._pump, near, far, who, True, nursery.cancel_scope)
+                        nursery.start_soon(self._pump, far, near, who, False, nursery.cancel_scope)
                 finally:
-                    self._open -= {near, far}
+                    del self._open[near], self._open[far]
 
-    async def _pump(self, source: trio.SocketStream, sink: trio.SocketStream, up: bool,
+    async def _pump(self, source: trio.SocketStream, sink: trio.SocketStream, who: int, up: bool,
                     scope: trio.CancelScope) -> None:
         tail, passed = b"", 0
         with contextlib.suppress(OSError, trio.BrokenResourceError, trio.ClosedResourceError):
             while data := await source.receive_some(CHUNK):
-                while not (self.fault.up if up else self.fault.down):
+                while not (self.fault(who).up if up else self.fault(who).down):
                     await self._changed.wait()
-                if self.fault.delay or self.fault.rate:
-                    await trio.sleep(self.fault.delay + (
-                        len(data) / self.fault.rate if self.fault.rate else 0.0))
+                fault = self.fault(who)
+                if fault.delay or fault.rate:
+                    await trio.sleep(fault.delay + (len(data) / fault.rate if fault.rate else 0.0))
                 passed += len(data)
-                if not up and self.fault.drop_after and passed > self.fault.drop_after:
-                    await self.reset()
+                if not up and fault.drop_after and passed > fault.drop_after:
+                    await self.reset(who)
                     break
                 await sink.send_all(data)
                 if self._words:
                     text = tail + data
                     for match in self._words.finditer(text):
                         if match.end() > len(tail):
-                            self._heard(up, match)
+                            self._heard(who, up, match)
                     tail = text[-TAIL:]
         scope.cancel()
--- a/brackenlane/lab/fleet/play.py
+++ b/brackenlane/lab/fleet/play.py
@@ -9,6 +9,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -19,7 +20,7 @@
 from brackenlane.lab.fleet import judges
 from brackenlane.lab.fleet.boxes import FleetBox, Strength
 from brackenlane.lab.fleet.clients import Clients, served
-from brackenlane.lab.fleet.doormans import Doorman
+from brackenlane.lab.fleet.doormans import Doorman, owner
 from brackenlane.lab.fleet.links import Link
 from brackenlane.lab.fleet.record import Record
 from brackenlane.lab.fleet.script import Script, Step
@@ -63,12 +64,14 @@
         for n, (kind, count) in enumerate(parties):
             for m in range(count):
                 name = "origin" if kind == "origin" else f"{'box' if kind == 'edge' else kind}-{m}"
-                strength = Strength(script.link, script.work)
+                link = script.link * (1.0 if kind == "edge" else script.wider)
+                strength = Strength(link, script.work, cold=1.0 if kind == "origin" else 0.3)
                 self.boxes[name] = FleetBox(name, kind, self.record, self.boxes, strength,
                                             chance=random.Random(seed * 1000 + 100 * n + m))
         self.doormans = [Doorman(n, folder, self.record, tree,
                                  self._clock(n)) for n in range(script.doormans)]
-        self.links: dict[tuple[int, str], Link] = {}
+        self.ways: dict[str, Link] = {}  # to each box, for all
+        self.stores: dict[int, Link] = {}  # each doorman's own to the store
         self._coldstart = coldstart
         self._told: dict[int, dict[str, bool]] = {}
 
@@ -118,32 +121,35 @@
             self.record.add("box_start", box=box.id)
         cold = (f"[coldstart]\nasks = {self.script.asks}\nloads = {self.script.loads}\n"
                 if self._coldstart else "")
+        boxes = []
+        for box in self.boxes.values():
+            if self.script.pairs:  # one address for all, as the store tells it; whose it is shows as it comes
+                self.ways[box.id] = await Link(box.port, BOX_WORDS, self._heard(box.id),
+                                               lambda port: owner(port, self.doormans)).open(nursery)
+            boxes.append((box.id, box.role, self.ways[box.id].port if self.script.pairs else box.port))
         for doorman in self.doormans:
-            way = await self._link(nursery, doorman.number, "store", self.store.port, STORE_WORDS)
-            boxes = []
-            for box in self.boxes.values():
-                port = box.port
-                if self.script.pairs:
-                    port = (await self._link(nursery, doorman.number, box.id, box.port, BOX_WORDS)).port
-                boxes.append((box.id, box.role, port))
+            way = self.stores[doorman.number] = await Link(
+                self.store.port, STORE_WORDS, self._heard("store"),
+                partial(_own, doorman.number)).open(nursery)
             doorman.write(boxes, way.port, doormans=self.script.doormans, coldstart=cold,
-                          purge_done=self.script.purge_done, weight=self.script.link)
+                          purge_done=self.script.purge_done, weight=self.script.link, wider=self.script.wider)
+
+    def _way(self, doorman: Doorman, other: str) -> Link:
+        return self.stores[doorman.number] if other == "store" else self.ways[other]
 
-    async def _link(self, nursery: trio.Nursery, doorman: int, other: str, port: int,
-                    words: re.Pattern[bytes]) -> Link:
-        def heard(up: bool, match: re.Match[bytes]) -> None:
+    def _heard(self, other: str) -> Callable[[int, bool, re.Match[bytes]], None]:
+        def heard(who: int, up: bool, match: re.Match[bytes]) -> None:
             told = {name: text.decode() for name, text in match.groupdict().items() if text}
             if "id" in told:
                 fields = dict(pair.split("=", 1) for pair in told["fields"].split(","))
-                self.record.add("sent", doorman, box=other, id=told["id"], miss=fields.get("miss", ""))
+                self.record.add("sent", who, box=other, id=told["id"], miss=fields.get("miss", ""))
             elif "follow" in told and up:
-                self.record.add("follow", doorman)
+                self.record.add("follow", who)
             elif "box" in told and not up:
-                self.record.add("told_order", doorman, box=told["box"], drained=told["drained"] == "true")
+                self.record.add("told_order", who, box=told["box"], drained=told["drained"] == "true")
             elif "time" in told and not up:
-                self.record.add("told_purge", doorman, obj=told.get("obj", ""), time=int(told["time"]))
-        link = self.links[doorman, other] = await Link(port, words, heard).open(nursery)
-        return link
+                self.record.add("told_purge", who, obj=told.get("obj", ""), time=int(told["time"]))
+        return heard
 
     async def _start(self, doormans: list[Doorman]) -> None:
         for doorman in doormans:
@@ -152,9 +158,11 @@
                 self._nursery.start_soon(doorman.serves)
 
     async def _all_serve(self) -> None:
+        """Wait until all are healthy and follow the store."""
         with trio.fail_after(120):
-            while len({e.doorman for e in self.record.of("healthy")}) < len(self.doormans):
-                await trio.sleep(0.1)
+            for kind in ("healthy", "follow"):
+                while len({e.doorman for e in self.record.of(kind)}) < len(self.doormans):
+                    await trio.sleep(0.1)
 
     def _chosen(self, step: Step) -> list[Doorman]:
         match step.who:
@@ -166,7 +174,7 @@
 
     async def _do(self, step: Step) -> None:
         """One step."""
-        chosen, store = self._chosen(step), [self.links[d.number, "store"] for d in self.doormans]
+        chosen = self._chosen(step)
         self.record.add("step", do=step.do)
         match step.do:
             case "start":
@@ -183,18 +191,17 @@
                     spoil(doorman.last_list, step.state)
             case "link":
                 for doorman in chosen:
-                    await self.links[doorman.number, step.way].set(**step.fault)
+                    await self._way(doorman, step.way).set(doorman.number, **step.fault)
             case "heal" | "reset":
                 for doorman in chosen:
-                    for (number, _), link in list(self.links.items()):
-                        if number == doorman.number:
-                            await (link.heal() if step.do == "heal" else link.reset())
+                    for way in (self.stores[doorman.number], *self.ways.values()):
+                        await (way.heal if step.do == "heal" else way.reset)(doorman.number)
             case "store_down":
-                for link in store:
-                    await link.set(refuse=True)
+                for way in self.stores.values():
+                    await way.set(refuse=True)
             case "store_up":
-                for link in store:
-                    await link.set(refuse=False)
+                for way in self.stores.values():
+                    await way.set(refuse=False)
             case "lose":
                 self.store.lose(step.seconds or float("inf"))
             case "late":
@@ -249,7 +256,10 @@
             "store connections": judges.within(self.record, "store_connect", s.connections),
             "store bytes": judges.within(self.record, "store_command", s.bytes,
                                          cost=lambda e: float(e.what["sent"])),
-            "spared": judges.spared(self.record, 0.3, 18.0, self.script.link / self.script.work, 3.0)}
+            "standing": judges.standing(self.record),
+            "spared": judges.spared(self.record, 0.3, 18.0, 3.0, {
+                name: box.strength.link / box.strength.work for name, box in self.boxes.items()
+                if box.role != "origin"})}
         if self.script.pairs:
             found["drained"] = judges.drained(self.record)
         return found
@@ -281,6 +291,11 @@
             "handshakes": shakes, "memory_mb": median(memory), "events": len(record.events)}
 
 
+def _own(number: int, _: int) -> int:
+    """Whose all connections of a doorman's own link are."""
+    return number
+
+
 def median(values: Any) -> float:
     """The middle one; 0 of none."""
     found = sorted(values)
--- a/brackenlane/lab/fleet/script.py
+++ b/brackenlane/lab/fleet/script.py
@@ -57,8 +57,9 @@
     rate: Annotated[float, Field(ge=0, le=10_000)] = 40.0  # requests a second at all doormans together
     objects: Annotated[int, Field(ge=1, le=100_000)] = 200
     pairs: bool = True  # a link of its own from each doorman to each box; else to the store alone
-    started: bool = True  # all doormans are started first, and the clients once all serve
+    started: bool = True  # all doormans are started first, and the clients once all follow the store
     link: Annotated[float, Field(gt=0, le=1000)] = 8.0  # transfers at a time that a warm box does
+    wider: Annotated[float, Field(ge=1, le=100)] = 5.0  # times as many that a parent and the origin do
     work: Annotated[float, Field(gt=0, le=10)] = 0.04  # seconds of one transfer alone
     purge_done: Seconds = 6.0
     asks: Annotated[float, Field(gt=0)] = 500.0  # told to the doormans of the store
--- a/brackenlane/lab/standins/redis.py
+++ b/brackenlane/lab/standins/redis.py
@@ -83,31 +83,39 @@
         with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
             while got := await stream.receive_some(65536):
                 reader.feed(got)
-                while (command := reader.gets()) is not False:
-                    self.commands += 1
-                    word = command[0]
-                    if word == "MULTI":
-                        queue, reply = [], b"+OK\r\n"
-                    elif word == "EXEC":
-                        assert queue is not None
-                        reply = b"*%d\r\n" % len(queue) + b"".join([await self._do(c) for c in queue])
-                        queue = None
-                    elif queue is not None:
-                        queue.append(command)
-                        reply = b"+QUEUED\r\n"
-                    else:
-                        reply = await self._do(command)
-                    self.sent += len(reply)
+                out, wait, refused = b"", 0.0, False
+                while (command := reader.gets()) is not False:  # what came together is done together
+                    reply, queue = await self._turn(command, queue)
                     cost = 1 / self.capacity.commands + len(reply) / self.capacity.bytes
                     wait = self._work(cost)
-                    self._tell("command", who, word=word, cost=cost, sent=len(reply), wait=wait)
+                    claim = len(command) > 1 and ":claim:" in command[1]
+                    self._tell("claim" if claim else "command", who, word=command[0], sent=len(reply),
+                               wait=wait)
                     if wait > self.capacity.patience:
                         self.refused += 1
-                        self._tell("refuse", who)
+                        refused = True
                         reply = b"-BUSY beyond the stated capacity\r\n"
-                    if wait > 0.001 or self.late:
-                        await trio.sleep(wait + self.late)
-                    await stream.send_all(reply)
+                    out += reply
+                if refused:
+                    self._tell("refuse", who)
+                if wait > 0.001 or self.late:
+                    await trio.sleep(wait + self.late)
+                self.sent += len(out)
+                await stream.send_all(out)
+
+    async def _turn(self, command: list[str], queue: list[list[str]] | None) -> tuple[
+            bytes, list[list[str]] | None]:
+        """The reply to one command, and what is queued of a transaction."""
+        self.commands += 1
+        match command[0]:
+            case "MULTI":
+                return b"+OK\r\n", []
+            case "EXEC":
+                assert queue is not None
+                return b"*%d\r\n" % len(queue) + b"".join([await self._do(c) for c in queue]), None
+        if queue is not None:
+            return b"+QUEUED\r\n", [*queue, command]
+        return await self._do(command), None
 
     def _write(self, key: str, name: str | None, value: Any) -> None:
         """One write to a string (no name) or a hash, so that it can be lost."""
--- a/brackenlane/settings/appliance.py
+++ b/brackenlane/settings/appliance.py
@@ -82,6 +82,7 @@
     locations: Annotated[list[Zone], Field(min_length=1, max_length=1000)]
     gateway: Annotated[int, Field(ge=0, le=10_000)] = 0
     gateways: Annotated[int, Field(ge=1, le=10_000)] = 1
+    mate: Annotated[int, Field(ge=0, le=10_000)] | None = None  # place among those of this location, from 0
     hub_of: list[Annotated[int, Field(ge=0)]] = []
     seats: list[Annotated[float, Field(ge=0)]] = []
     link_kb_per_s: list[Annotated[float, Field(ge=0)]] = []
@@ -198,6 +199,10 @@
         zones = set(self.settings.locations)
         if self.settings.location not in zones:
             yield f"settings.location: {self.settings.location!r} is not among settings.locations"
+        seats = dict(zip(self.settings.locations, self.settings.seats, strict=False))
+        most = seats.get(self.settings.location, self.settings.gateways)
+        if self.settings.mate is not None and self.settings.mate >= most:
+            yield f"settings.mate: {self.settings.mate}: the location has {most:g} doormans, counted from 0"
         for name in ("hub_of", "seats", "link_kb_per_s"):
             told = getattr(self.settings, name)
             if told and len(told) != len(self.settings.locations):
@@ -222,6 +227,10 @@
     def module_settings(self) -> Settings:
         """As the decision module takes them."""
         told: dict[str, Any] = self.settings.model_dump()
+        s = self.settings
+        seats = s.seats[s.locations.index(s.location)] if s.seats else s.gateways
+        if s.mate is None:  # where all doormans are of one location, it is the place among all
+            told["mate"] = s.gateway if s.gateway < seats == sum(s.seats or [seats]) == s.gateways else -1
         for name in ("locations", "hub_of", "seats", "link_kb_per_s"):
             told[name] = tuple(told[name])
         for name in ("edge_cold", "parent_cold"):
--- a/brackenlane/store/shared.py
+++ b/brackenlane/store/shared.py
@@ -287,7 +287,8 @@
                             "event", orjson.dumps({"box": what}).decode()]]
         # All or nothing: who dies between two boxes would leave one that nobody ever tells the others of.
         await self._follows.call(
-            ["MULTI"], *writes, ["SET", filing.key, "done", "EX", self._limits.store_filed], ["EXEC"])
+            ["MULTI"], *writes, ["SET", filing.key, "done", "EX", self._limits.store_filed], ["EXEC"],
+            wait=self._limits.store_block)
         filing.done = True
 
     def _take(self, event: dict[str, Any]) -> None:
--- a/frostsail/brain.py
+++ b/frostsail/brain.py
@@ -13,7 +13,7 @@
 from hashlib import blake2b
 from itertools import chain
 
-from frostsail.cold import Tokens, ability, burst, joined
+from frostsail.cold import Tokens, ability, burst, joined, rota
 from frostsail.interface import (
     Action, Arrival, Cancel, Effect, Event, Fail, Fetch, ListKind, Member, Membership, Note, Outcome,
     Purged, Refuse, RequestClass, Role, Scope, SetTimer, Settings, Started, State, Subscribe, Verdict,
@@ -303,12 +303,15 @@
         weight = max(server.me.weight, self.narrow / 2 if alone else 0.0)
         can, sharers = ability(rule, weight, age), self.seats
         most = burst(rule, can)
-        if server.me.role is Role.PARENT:
+        if self.s.mate >= 0 and (len(self.mates) < 2 or server.me.role is Role.EDGE):
+            unit = max(self.sizes.means.values())
+            sharers = rota(most, unit, self.s.mate, int(self.seats), server.me.server)
+        elif server.me.role is Role.PARENT:
             unit = max(c.aim for c in self.s.classes)  # about one request
             order = self._order(f"{server.me.server}@{server.me.started_at}", self.mates)
             sharers = joined(most, unit, ((m.me.zone, m.me.weight) for m in order), self.s.location)
-            if not sharers or server not in self.rings[0]:
-                return 0.0
+        if not sharers or (server.me.role is Role.PARENT and server not in self.rings[0]):
+            return 0.0
         return server.tokens.fill(now, can / sharers, most / sharers)
 
     def _accuse(self, server: Server, weight: float, now: float) -> None:
--- a/frostsail/cold.py
+++ b/frostsail/cold.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from zlib import crc32
 
 from frostsail.interface import ColdStart
 
@@ -38,6 +39,17 @@
     return sharers if mine else 0.0
 
 
+def rota(room: float, unit: float, mate: int, mates: int, server: str) -> int:
+    """By how many gateways of one location a burst is shared now; 0: it is not yet this one's turn.
+
+    Where each knows its place among its mates (from 0), they join one by one as the burst grows to one
+    request (`unit`, of work) for each, from a place that the server's name gives: at each server others are
+    first, none is idle.
+    """
+    few = min(mates, max(1, int(room / max(unit, 1e-9))))
+    return few if (mate + crc32(server.encode())) % mates < few else 0
+
+
 class Tokens:
     """One gateway's share of one server's budget."""
 
--- a/frostsail/interface.py
+++ b/frostsail/interface.py
@@ -154,6 +154,7 @@
     gateways: int = 1
     hub_of: tuple[int, ...] = ()
     seats: tuple[int, ...] = ()
+    mate: int = -1  # this gateway's place among those of its location, from 0; -1: not told
     link_kb_per_s: tuple[float, ...] = ()
     pace_kb_per_s: float = 0.0
     edge_cold: ColdStart = field(default_factory=ColdStart)
@@ -192,6 +193,9 @@
             raise ValueError("setting hub_of: a hub is no place among the locations")
         _check("gateways", self.gateways, 1)
         _check("gateway", self.gateway)
+        if self.mate >= 0 and not self.mate < (
+                self.seats[self.locations.index(self.location)] if self.seats else self.gateways):
+            raise ValueError(f"setting mate: {self.mate} is no place among the gateways of its location")
         _check("max_attempts", self.max_attempts, 1)
         _check("tick", self.tick, above=True)
         for name in ("pace_kb_per_s", "answer_slack", "connect_timeout", "purge_done", "max_hold_off",
--- a/tests/test_appliance.py
+++ b/tests/test_appliance.py
@@ -285,6 +285,7 @@
     ('id = "box-2"', 'id = "box-1"', "box: two bear the name 'box-1'"),
     ("port = 7101", "port = 0", "box[0].port: 0: Input should be greater than or equal to 1"),
     ("max_attempts = 4", "max_tries = 4", "settings.max_tries: not known"),
+    ("seats = [0, 1]", "seats = [0, 1]\nmate = 1", "settings.mate: 1: the location has 1 doormans"),
     ('zone = "branch"', 'zone = "brnch"', "box[0].zone: 'brnch' is not among settings.locations"),
     ("give_up = 6.0", 'give_up = "6"', "class[0].give_up: '6': Input should be a valid number"),
     ('effect = "unsafe"', 'effect = "odd"', "odd"),
--- a/tests/test_coldstart.py
+++ b/tests/test_coldstart.py
@@ -13,6 +13,9 @@
 from brackenlane.coldstart.reading import NOWHERE, ask_from, continues, lacking, read_place
 from brackenlane.discovery.merge import Order
 from brackenlane.lab.fleet.virtual import Fleet, Store, peak
+from frostsail.cold import rota
+from frostsail.interface import Fetch, Member, Note, Role
+from tests.rig import Rig, every
 
 CAPACITY = Capacity(1000, asks=500.0, loads=20.0)
 
@@ -171,3 +174,42 @@
     assert phases.step(Event.ASKED, 1.0) is Phase.LOADING
     phases.step(Event.RECALL, 2.0)
     assert phases.step(Event.LOST, 3.0) is Phase.RECALLED
+
+
+@given(st.floats(0, 50), st.floats(0.01, 2), st.integers(1, 300), st.text("abc-0123", min_size=1, max_size=8))
+def test_rota(room: float, unit: float, mates: int, server: str) -> None:
+    """Of one location exactly so many share as the burst pays for, whose shares are never more than it."""
+    sharers = [rota(room, unit, mate, mates, server) for mate in range(mates)]
+    few = max(sharers)
+    assert 1 <= few <= mates and set(sharers) <= {0, few}
+    assert sum(n > 0 for n in sharers) == few
+    assert few == 1 or few == mates or few * unit <= room * (1 + 1e-9)
+    later = [rota(2 * room, unit, mate, mates, server) for mate in range(mates)]
+    assert all(late for late, early_ in zip(later, sharers, strict=True) if early_)  # nobody drops out again
+
+
+def test_rota_reaches_all() -> None:
+    """Over sixty boxes each of two hundred has its turn at some, and none at far more than its part."""
+    turns = [sum(rota(1.0, 0.1, mate, 200, f"box-{n}") > 0 for n in range(60)) for mate in range(200)]
+    assert sum(turns) == 60 * 10 and max(turns) <= 12 and sum(t > 0 for t in turns) > 150
+
+
+@pytest.mark.parametrize("mate", [-1, 0])
+def test_all_cold_at_once(mate: int) -> None:
+    """Forty gateways, ten boxes, all just started: with places known, boxes are used at once."""
+    fleet = [Member(f"edge-{n}", "depot", weight=2.0, started_at=100.0) for n in range(10)]
+    fleet += [Member("origin", "hub-a", Role.ORIGIN)]
+    rigs = [Rig(fleet, n, 100.0, gateways=40, seats=(0, 0, 0, 40), gateway=n, mate=n if mate == 0 else -1)
+            for n in range(40)]
+    chance, served, per_box = random.Random(1), 0, dict.fromkeys((m.server for m in fleet), 0)
+    for tick in range(1200):  # 3 s
+        rig = chance.choice(rigs)
+        rig.now = 100.0 + tick / 400
+        for fetch in every(rig.ask(f"o{tick}", "tiles", time_left=2.5, size_kb=400.0), Fetch):
+            per_box[fetch.server] += 1
+            served += fetch.server != "origin"
+            rig.end(fetch, note=Note.FILLED, wait=0.1)
+    assert (served > 20) is (mate == 0)
+    # At three seconds a box does 2 x (0.18 + 0.82 / 6) transfers of 0.1 s a second; a burst may be four
+    # seconds' worth.
+    assert all(n <= (3 + 4) * 2 * 0.32 / 0.1 for server, n in per_box.items() if server != "origin")
--- a/tests/test_lab_fleet.py
+++ b/tests/test_lab_fleet.py
@@ -58,6 +58,7 @@
     since = max(at for _, at in times(record, "told_order", box="box-2"))
     late = {e.what["box"] for e in record.of("sent") if e.at > since + 0.1}
     assert "box-2" not in late and {"box-0", "box-1"} <= late
+    assert {e.doorman for e in record.of("sent")} >= set(range(8))  # whose each request is, is known
     assert outcome.figures["served"] > 0.6 and outcome.figures["current"] == 8
     # Who had its list asked for what was new; the two others for the whole.
     assert sum(1 for e in record.of("store_command") if e.what["word"] == "HSCAN") <= 2 * (8 + 2)
@@ -135,9 +136,10 @@
       (3, "answer", 1, {"obj": "o", "issued": 40, "asked": 2.5})]),
     (lambda r: judges.within(r, "k", 2), [(1, "k", -1, {}), (1.5, "k", -1, {}), (2.1, "k", -1, {})],
      [(1, "k", -1, {}), (1.5, "k", -1, {}), (1.9, "k", -1, {})]),
-    (lambda r: judges.spared(r, 0.3, 18.0, 10.0, 1.0),
+    (lambda r: judges.spared(r, 0.3, 18.0, 1.0, {"b": 10.0}),
      [(0, "box_start", -1, {"box": "b"}), *[(n / 9, "got", -1, {"box": "b"}) for n in range(20)]],
      [(0, "box_start", -1, {"box": "b"}), *[(n / 99, "got", -1, {"box": "b"}) for n in range(20)]]),
+    (judges.standing, [(1, "got", -1, {"box": "b"})], [(1, "fall", -1, {"box": "b"})]),
     (lambda r: judges.shaken(r, 1), [(1, "handshake", -1, {"box": "b"})] * 2,
      [(1, "handshake", -1, {"box": "b"})] * 3),
 ])
