--- a/brackenlane/cli/main.py
+++ b/brackenlane/cli/main.py
@@ -112,6 +112,24 @@
         sys.exit(1)
 
 
+@lab.command()
+@click.option("--port", type=click.IntRange(1, 65535), default=7379, show_default=True)
+def store(port: int) -> None:
+    """A stand-in of the shared store at 127.0.0.1, to try things with; it keeps nothing over its end."""
+    import trio
+
+    from brackenlane.lab.standins.redis import Redis
+
+    async def serve() -> None:
+        async with trio.open_nursery() as nursery:
+            redis = Redis()
+            redis.port = port
+            await redis.open(nursery)
+            click.echo(f"a stand-in store listens on 127.0.0.1:{port}")
+
+    trio.run(serve)
+
+
 @cli.command()
 @click.argument("shell", type=click.Choice(["bash", "zsh", "fish"]))
 def completion(shell: str) -> None:
