--- a/brackenlane/appliance.py
+++ b/brackenlane/appliance.py
@@ -164,12 +164,14 @@
                         limits, config.capacity, phases,
                         kept.place if kept and trusted else NOWHERE) if config.redis else None
         if shared:
+            if kept:
+                shared.recall({(obj, group): at for obj, group, at in kept.purges})
             nursery.start_soon(shared.run, list(config.boxes))
             nursery.start_soon(unheard, config, roster, phases, None if trusted else kept, limits)
         else:
             phases.step(Event.READ, time.time())  # nobody else knows more
-        keeper = lastlist.Keeper(roster, config.last_list, limits.last_list, lambda: shared.place if shared
-                                 else NOWHERE) if config.last_list else None
+        keeper = lastlist.Keeper(roster, config.last_list, limits.last_list, shared
+                                 ) if config.last_list else None
         if keeper:
             nursery.start_soon(keeper.run)
         responder = Responder(config.zone, config.http, core, roster, limits)
--- a/brackenlane/coldstart/reading.py
+++ b/brackenlane/coldstart/reading.py
@@ -21,11 +21,8 @@
     return int(ms), int(number)
 
 
-def ask_from(place: str, span: float) -> str:
-    """From where on entries are asked for: so many seconds before a place, since purges count for so long.
-
-    By the store's clock alone, which made the places: ours may be off.
-    """
+def before(place: str, span: float) -> str:
+    """The place so many seconds before one, by the clock that made them, the store's: ours may be off."""
     return f"{max(0, read_place(place)[0] - int(span * 1000))}-0"
 
 
--- a/brackenlane/discovery/lastlist.py
+++ b/brackenlane/discovery/lastlist.py
@@ -11,10 +11,9 @@
 import logging
 import os
 import time
-from collections.abc import Callable
 from dataclasses import dataclass, replace
 from pathlib import Path
-from typing import Any
+from typing import Any, Protocol
 
 import orjson
 import trio
@@ -29,6 +28,13 @@
 LARGEST = 16 * 2**20  # bytes
 
 
+class Stored(Protocol):
+    """What a last list keeps of the shared store."""
+
+    place: str
+    purges: dict[tuple[str, int], float]
+
+
 @dataclass(frozen=True, slots=True)
 class Kept:
     """A last list."""
@@ -37,13 +43,14 @@
     saved: float  # Unix time
     place: str = NOWHERE  # in the log of the shared store: all up to it is in this list
     left: bool = False  # written as the doorman left in order; else power or the program was lost
+    purges: tuple[tuple[str, int, float], ...] = ()  # told lately: object, group, Unix time
 
 
 def dump(kept: Kept) -> bytes:
     """A last list as it is written."""
     memory = kept.memory
     body = orjson.dumps({
-        "saved": kept.saved, "place": kept.place, "left": kept.left,
+        "saved": kept.saved, "place": kept.place, "left": kept.left, "purges": kept.purges,
         "others": [box_json(what) for what in memory.others],
         "listed": {srv: [box_json(what) for what in listed] for srv, listed in memory.listed.items()},
         "places": memory.places, "orders": [order_json(*pair) for pair in memory.orders.items()]})
@@ -72,7 +79,8 @@
         memory = Memory(tuple(read_box(box) for box in raw["others"]), listed,
                         {str(host): str(at) for host, at in raw["places"].items()},
                         dict(read_order(order) for order in raw["orders"]))
-        return Kept(memory, float(raw["saved"]), place, raw.get("left", False) is True)
+        purges = tuple((str(obj), int(group), float(at)) for obj, group, at in raw.get("purges", ()))
+        return Kept(memory, float(raw["saved"]), place, raw.get("left", False) is True, purges)
     except (KeyError, TypeError, AttributeError) as fault:
         raise ValueError(f"{type(fault).__name__}: {fault}") from None
 
@@ -113,9 +121,9 @@
 class Keeper:
     """Writes the last list after changes, once in a while; what fails is said and tried again."""
 
-    def __init__(self, roster: Roster, path: Path, pause: float, place: Callable[[], str]) -> None:
-        """place: up to where in the shared store's log the roster has taken in all there is."""
-        self._roster, self._path, self._pause, self._place = roster, path, pause, place
+    def __init__(self, roster: Roster, path: Path, pause: float, store: Stored | None) -> None:
+        """store: whose log the roster has taken in up to a place."""
+        self._roster, self._path, self._pause, self._store = roster, path, pause, store
         self._news = trio.Event()
         self._written = b""
         roster.changed.append(self._changed)
@@ -137,7 +145,10 @@
 
     async def keep(self, left: bool = False) -> None:
         """Write what is remembered now, unless that stands there; left: for the last time, in order."""
-        kept = Kept(self._roster.merge.memory(), 0.0, self._place(), left)
+        kept = Kept(self._roster.merge.memory(), 0.0, left=left)
+        if self._store:
+            purges = tuple((obj, group, at) for (obj, group), at in self._store.purges.items())
+            kept = replace(kept, place=self._store.place, purges=purges)
         if (same := dump(kept)) != self._written:
             await trio.to_thread.run_sync(save, self._path, dump(replace(kept, saved=time.time())))
             self._written = same
--- a/brackenlane/lab/fleet/play.py
+++ b/brackenlane/lab/fleet/play.py
@@ -89,9 +89,11 @@
             async with trio.open_nursery() as nursery:
                 self._nursery = nursery
                 await self._open(nursery)
-                if self.script.started:
+                if self.script.started:  # at leisure: what the store bears holds from the play's begin on
+                    stated, self.store.capacity = self.store.capacity, Capacity()
                     await self._start(self.doormans)
                     await self._all_serve()
+                    self.store.capacity = stated
                 self.record.add("begin")
                 begun = self.record.now
                 clients = Clients(self.record, self._ports, max(self.script.rate, 1e-9), self.script.objects,
--- a/brackenlane/limits.py
+++ b/brackenlane/limits.py
@@ -108,6 +108,7 @@
     store_log: int = 10_000  # events kept there
     store_piece: int = 500  # entries or boxes asked for at once
     store_unshared: int = 1_000  # changes that wait for the store to come back, or to be read back
+    store_purges: int = 2_000  # kept over a restart; of more the first are
     store_tickets: int = 600  # for which the tickets of a span are remembered
     store_filing: int = 10  # seconds for which one doorman alone writes the boxes of a file
     store_filed: int = 2_592_000  # for which it is remembered that they are written; then it is done anew
--- a/brackenlane/store/shared.py
+++ b/brackenlane/store/shared.py
@@ -13,7 +13,7 @@
 import random
 import time
 from collections import OrderedDict, deque
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from typing import Any
 
 import orjson
@@ -21,7 +21,7 @@
 
 from brackenlane.coldstart.pace import Capacity, Pace
 from brackenlane.coldstart.phases import Event, Phase, Phases
-from brackenlane.coldstart.reading import NOWHERE, ask_from, continues, lacking, read_place
+from brackenlane.coldstart.reading import NOWHERE, before, continues, lacking, read_place
 from brackenlane.config import Endpoint
 from brackenlane.core.claims import Claim
 from brackenlane.discovery.merge import Definition, Order, Origin
@@ -43,6 +43,7 @@
                  place: str = NOWHERE) -> None:
         """place: up to where in the stream the roster knows all."""
         self._limits, self._roster, self._name = limits, roster, name
+        self.purges: dict[tuple[str, int], float] = {}  # told lately, by our clock
         self._counts = 2 * purge_done  # seconds for which a purge is kept in mind
         self._ahead = 0.0  # the store's clock less our monotonic one
         self._boxes, self._events = f"brackenlane:{site}:boxes", f"brackenlane:{site}:events"
@@ -96,6 +97,20 @@
         """Share a purge; False if the store is away."""
         return await self._share(None, {"purge": {"object": obj, "group": group, "time": int(at * 1000)}})
 
+    def _purge(self, obj: str, group: int, at: float) -> None:
+        """A purge; kept in mind for a restart while it counts, with our place in the stream."""
+        self._roster.purge(obj, group, at)
+        since = time.time() - self._counts
+        self.purges = {key: t for key, t in self.purges.items() if t > since}
+        if at > since and len(self.purges) < self._limits.store_purges:
+            self.purges[obj, group] = max(at, self.purges.get((obj, group), at))
+
+    def recall(self, purges: Mapping[tuple[str, int], float]) -> None:
+        """The purges of a last list; those that count no more are passed over."""
+        for (obj, group), at in purges.items():
+            if time.time() - at <= self._counts:
+                self._purge(obj, group, at)
+
     async def _share(self, first: list[str | int] | None, event: dict[str, Any]) -> bool:
         change = (first, event)
         # What could not be shared waits: a load must not undo a drain that the store never heard of.
@@ -149,7 +164,7 @@
                 raise StoreAway("what changed meanwhile can't be shared yet")
             self._unshared.popleft()
         asked = time.monotonic()
-        begin = ask_from(self.place, self._counts) if self.place != NOWHERE else "+"  # behind all: nothing
+        begin = self.place if self.place != NOWHERE else "+"  # behind all: nothing is asked for
         mine = sorted(self._roster.merge.orders)[:self._limits.store_piece]
         orders: list[list[str | int]] = [["HMGET", self._orders, *mine]] if mine else []
         entries, [hint, filed], told, *texts = await self._follows.call(
@@ -208,7 +223,7 @@
             self._take({"order": _read_json(text)})
         async for text in self._scan(self._boxes):
             self._take({"box": _read_json(text)})
-        [entries] = await self._follows.call(["XRANGE", self._events, ask_from(place, self._counts), "+"])
+        [entries] = await self._follows.call(["XRANGE", self._events, before(place, self._counts), "+"])
         for at, fields in entries:
             event = _read_event(fields)
             if "purge" in event:
@@ -228,14 +243,12 @@
                 return
 
     def _read(self, entries: list[Any]) -> None:
-        """Entries of the stream; of those before our place only purges still count."""
+        """Entries of the stream, those up to our place passed over."""
         for place, fields in entries:
             event = _read_event(fields)
             self._unread.pop(_event_text(fields), None)
-            known = read_place(str(place)) <= read_place(self.place)
-            if not known or "purge" in event:
+            if read_place(str(place)) > read_place(self.place):
                 self._take(event, str(place))
-            if not known:
                 self.place = str(place)
 
     async def _news(self, place: str, *block: str | int) -> list[Any]:
@@ -307,7 +320,7 @@
                 told = event["purge"]
                 # By the store's clock: with ours minutes ahead, news would look too old to matter.
                 age = max(0.0, time.monotonic() + self._ahead - read_place(place)[0] / 1000)
-                self._roster.purge(str(told["object"]), int(told["group"]), time.time() - age)
+                self._purge(str(told["object"]), int(told["group"]), time.time() - age)
         except (ValueError, KeyError, TypeError) as fault:
             log.warning("an event that can't be read: %s", fault)
 
--- a/frostsail/brain.py
+++ b/frostsail/brain.py
@@ -304,8 +304,7 @@
         can, sharers = ability(rule, weight, age), self.seats
         most = burst(rule, can)
         if self.s.mate >= 0 and (len(self.mates) < 2 or server.me.role is Role.EDGE):
-            unit = max(self.sizes.means.values())
-            sharers = rota(most, unit, self.s.mate, int(self.seats), server.me.server)
+            sharers = rota(most, self.sizes.largest, self.s.mate, int(self.seats), server.me.server)
         elif server.me.role is Role.PARENT:
             unit = max(c.aim for c in self.s.classes)  # about one request
             order = self._order(f"{server.me.server}@{server.me.started_at}", self.mates)
@@ -367,7 +366,7 @@
                 behind and not self._usable(behind, request, now)):
             return self._finish(request, now)
         # Under strain look first, at the cache, then at the parent: the origin behind may be what is slow.
-        # But a write is kept nowhere: every look for it comes back.
+        # But a write is kept nowhere, and a cold cache has little: every look there comes back.
         # Of a group purged whole lately the parent has nothing either: a look there would only come back.
         void = now - self.purges.get(request.ask.group, -math.inf) <= 2 * self.s.purge_done
         part = self.upstream.part(now)
@@ -375,7 +374,8 @@
         # No more goes to the origin than it answers in time; writes, which run nowhere else, go first.
         if strained and (behind or (request.missed and void)) and self.random.random() > part:
             return self._finish(request, now)
-        if strained and not request.missed and edge.me.role is Role.EDGE:
+        warm = edge.me.role is Role.EDGE and self._cold_room(edge, now) == math.inf
+        if strained and not request.missed and warm:
             source = None
         look = strained and request.missed and not behind and edge is not source and not void
         held = look and source is not None and now > source.slow + MEMORY
--- a/frostsail/sizes.py
+++ b/frostsail/sizes.py
@@ -27,6 +27,11 @@
         self._seen = False  # in answers
         self._weighed = dict.fromkeys(self.means, PRIOR)  # answers that a mean rests on, the guess among them
 
+    @property
+    def largest(self) -> float:
+        """The largest mean of a class."""
+        return max(self.means.values())
+
     def work(self, cls: str, obj: str, told: float) -> float:
         """The sending time of a request, which may be told, else what is known of its object or class."""
         work = told or self.by_object.get(obj, self.means[cls])
--- a/tests/test_coldstart.py
+++ b/tests/test_coldstart.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import time
 
 import pytest
 from hypothesis import given
@@ -10,11 +11,15 @@
 
 from brackenlane.coldstart.pace import LONGEST, Capacity, Pace, early, jittered, place
 from brackenlane.coldstart.phases import Event, Phase, Phases
-from brackenlane.coldstart.reading import NOWHERE, ask_from, continues, lacking, read_place
-from brackenlane.discovery.merge import Order
+from brackenlane.coldstart.reading import NOWHERE, before, continues, lacking, read_place
+from brackenlane.discovery import lastlist
+from brackenlane.discovery.merge import Memory, Merge, Order, Policy
+from brackenlane.discovery.roster import Roster
 from brackenlane.lab.fleet.virtual import Fleet, Store, peak
+from brackenlane.limits import Limits
+from brackenlane.store.shared import Shared
 from frostsail.cold import rota
-from frostsail.interface import Fetch, Member, Note, Role
+from frostsail.interface import Fetch, Member, Note, Purged, Role
 from tests.rig import Rig, every
 
 CAPACITY = Capacity(1000, asks=500.0, loads=20.0)
@@ -143,7 +148,7 @@
     """A place continues only while its very entry is there; orders that the store lacks are found."""
     assert continues("5-1", {"5-1", "6-0"}) and not continues("5-1", {"6-0"})
     assert not continues(NOWHERE, {"0-0"}) and not continues("5-1", set())
-    assert ask_from("5000-1", 1.5) == "3500-0" and ask_from("5000-1", 9.0) == "0-0"
+    assert before("5000-1", 1.5) == "3500-0" and before("5000-1", 9.0) == "0-0"
     for text in ("", "5", "5-", "-1", "a-1", "5-1-1", "²-1", "1" * 50 + "-1"):
         with pytest.raises(ValueError):
             read_place(text)
@@ -212,3 +217,16 @@
     # At three seconds a box does 2 x (0.18 + 0.82 / 6) transfers of 0.1 s a second; a burst may be four
     # seconds' worth.
     assert all(n <= (3 + 4) * 2 * 0.32 / 0.1 for server, n in per_box.items() if server != "origin")
+
+
+def test_purges_over_a_restart() -> None:
+    """With its place in the log a last list keeps the purges before it that still count, and no others."""
+    events: list[object] = []
+    roster = Roster(Merge(Policy()), events.append, lambda *_: None)
+    shared = Shared(("127.0.0.1", 1), "site", "a", roster, 6.0, Limits())
+    now = time.time()
+    shared.recall({("clip", -1): now - 3.0, ("", 7): now - 11.0, ("old", -1): now - 13.0})
+    found = {(e.obj, e.group): e.age for e in events if isinstance(e, Purged)}
+    assert found == {("clip", -1): pytest.approx(3.0, abs=0.2), ("", 7): pytest.approx(11.0, abs=0.2)}
+    kept = lastlist.Kept(Memory(), now, "5-1", True, tuple((*key, at) for key, at in shared.purges.items()))
+    assert lastlist.parse(lastlist.dump(kept)) == kept and len(kept.purges) == 2
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -269,7 +269,7 @@
 
 def test_last_list_cut(tmp_path: Path) -> None:
     """A last list reads back as it was; cut or changed at any byte it is refused, never half believed."""
-    kept = lastlist.Kept(MEMORY, 7.0, "17-3", True)
+    kept = lastlist.Kept(MEMORY, 7.0, "17-3", True, (("clip", -1, 5.0),))
     whole = lastlist.dump(kept)
     assert lastlist.parse(whole) == kept
     for place in range(len(whole)):
--- a/tests/test_strain.py
+++ b/tests/test_strain.py
@@ -53,6 +53,18 @@
     assert only(rig.end(look, Verdict.MISS, Note.UNTOLD), Refuse)
 
 
+def test_under_strain_a_cold_cache_is_not_looked_at_first() -> None:
+    """It has little yet: a look there would come back, and would cost it a part of what it bears."""
+    rig = strained()
+    rig.tell([replace(m, started_at=rig.now) for m in members() if m.role is Role.EDGE])
+    rig.now += 17.0
+    fetch = only(rig.ask("fresh"), Fetch)
+    assert fetch.server.startswith("edge") and fetch.source.startswith(("parent", "origin"))
+    rig.now += 2.0  # warm by now
+    fetch = only(rig.ask("other"), Fetch)
+    assert fetch.source == fetch.server
+
+
 def test_under_strain_a_copy_past_its_fresh_time_will_do_but_no_purged_one() -> None:
     rig = strained(classes=(VIDEO, replace(TILES, grace=20.0)))
     assert only(rig.ask("clip", "tiles"), Fetch).max_age == 28.0
