--- a/brackenlane/lab/fleet/doormans.py
+++ b/brackenlane/lab/fleet/doormans.py
@@ -72,8 +72,9 @@
 
 
 def _die_with_the_rig() -> None:
-    """Whatever ends the rig ends the process (prctl(2), PR_SET_PDEATHSIG)."""
+    """Whatever ends the rig ends the process (prctl(2), PR_SET_PDEATHSIG); the rig has the cores first."""
     ctypes.CDLL(None).prctl(1, signal.SIGKILL)
+    os.nice(5)
 
 
 @dataclass
