An origin's answers in time let go of what late ones held back

Cause: frostsail/upstream.py, a late answer halves, and only time brings back; where the origin's usual wait is near an aim some are always late. Test: late one time in five holds little back, always late most; it fails without the change.

--- a/frostsail/brain.py
+++ b/frostsail/brain.py
@@ -505,16 +505,11 @@
 
     def _upstream(self, event: Outcome, request: Request, source: Server, now: float) -> None:
         """Learn how the origin does from a fill that it may have taken part in."""
-        far = event.note is Note.FILLED_BY_ORIGIN
-        full = event.verdict is Verdict.FULL and event.wait > 2 * self.s.tick
-        aim = request.cls.aim if event.first_byte else request.aim
-        slow = (event.first_byte or event.wait) >= HEADROOM * aim
-        # A quick error is no sign of a queue: what waits in one fails once its fill is given up.
-        if full or (slow and (far or event.verdict is Verdict.ERROR)):
-            # A parent's error may be its own: what fails at all parents alike fails behind them.
-            blamed = [s.blame > 0 for s in self.rings[0]]
-            sure = 1.0 if far or source is self.origin else sum(blamed) / max(1, len(blamed))
-            self.upstream.late(now, sure, self.s.classes[0].aim)
+        # A parent's error may be its own: what fails at all parents alike fails behind them.
+        blamed = [s.blame > 0 for s in self.rings[0]]
+        sure = 1.0 if source is self.origin else sum(blamed) / max(1, len(blamed))
+        aim = HEADROOM * (request.cls.aim if event.first_byte else request.aim)
+        self.upstream.learn(event, now, aim, sure, self.s.classes[0].aim, 2 * self.s.tick)
 
     def _late(self, attempt: Attempt, now: float) -> None:
         """Blame for an attempt overdue: who has proved to be alive since it was sent is not at fault."""
--- a/frostsail/upstream.py
+++ b/frostsail/upstream.py
@@ -5,13 +5,16 @@
 An origin that falls behind serves a queue, oldest first. Once that queue is longer than a fill may wait, all
 that it still works off was given up before: it works, and nobody is served (docs/design/fleet.md, "The origin
 falls behind"). One gateway of hundreds sees it answer a second or two, so it can't learn by counts: the part
-that it lets through is halved by a late or failed answer, once for each crowd, and grows by itself with time
-(additive increase, multiplicative decrease; Chiu and Jain 1989).
+that it lets through is halved by a late or failed answer, once for each crowd, grows with each one in time,
+and by itself with time (additive increase, multiplicative decrease; Chiu and Jain 1989).
 """
 
 from __future__ import annotations
 
+from frostsail.interface import Note, Outcome, Verdict
+
 MENDS = 8.0  # seconds in which the part grows back to the whole; a source that is out is tried as often
+MENDED = 1 / 4  # of what is held back, let go by an answer in time: one late now and then costs nothing
 LEAST = 0.05  # let through however late it answers: by these it is seen to have mended
 
 
@@ -30,6 +33,21 @@
         self._stamp = now
         return self._part
 
+    def learn(self, event: Outcome, now: float, bar: float, sure: float, pause: float, least: float) -> None:
+        """A fill that the origin may have taken part in has ended.
+
+        bar: seconds from which an answer is late; least: until which a refusal is the cache's own; sure: how
+        surely an error is the origin's where it does not show; pause: see `late`.
+        """
+        far = event.note is Note.FILLED_BY_ORIGIN
+        full = event.verdict is Verdict.FULL and event.wait > least
+        slow = (event.first_byte or event.wait) >= bar
+        # A quick error is no sign of a queue: what waits in one fails once its fill is given up.
+        if full or (slow and (far or event.verdict is Verdict.ERROR)):
+            self.late(now, 1.0 if far else sure, pause)
+        elif far:
+            self._part += (1 - self.part(now)) * MENDED
+
     def late(self, now: float, sure: float, pause: float) -> None:
         """An answer came late or not at all.
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -138,6 +138,18 @@
     assert (rig.router.upstream.part(rig.now) == 1.0) is quick
 
 
+@pytest.mark.parametrize(("every", "low", "high"), [(5, 0.6, 1.0), (1, 0.0, 0.2)])
+def test_late_now_and_then(every: int, low: float, high: float) -> None:
+    """An origin whose usual wait is near an aim is late for some: little is held back; always late, most."""
+    up, parts = Upstream(), []
+    for n in range(60):
+        now, wait = 100 + 0.2 * n, 0.39 if n % every == 0 else 0.05
+        fill = Outcome("x", 0, "edge-0", Verdict.OK, wait, True, Note.FILLED_BY_ORIGIN, wait)
+        up.learn(fill, now, 0.28, 1.0, 0.4, 0.004)
+        parts.append(up.part(now))
+    assert low <= sum(parts[20:]) / 40 <= high
+
+
 def test_part() -> None:
     """Halved once for each crowd, down to its least; back to the whole in its time."""
     up = Upstream()
