Follow the settings' longest deadline, idle time and streams, not this customer's

Seen in reading: PROTOCOL lets the platform kill a process the longest deadline (3 s at most) and 0.7 s after SIGTERM; Limits.killed stood at 3.7 s, which is right only where a class waits 3 s or more. With deadlines of 2 s the last answers came 3.3 s after SIGTERM: 0.6 s after the kill.

Likewise fixed for one customer: idle connections to boxes were closed after 24 s whatever Limits.KeepaliveS says, a connection took 100 requests whatever Limits.StreamsPerConn says, and a client that waits 6 s or 60 s for a class got 2.5 s to take its answer. Lines at fault: limits.py, before_killed, suited and the fields they now set; drill.py did not read the two settings.

--- a/brackenlane/__main__.py
+++ b/brackenlane/__main__.py
@@ -107,7 +107,7 @@
             case []:
                 config = load(os.environ.get("GW_CONFIG"), os.environ.get("GW_OPS", ""))
                 trio.run(serve, config, Limits().within(config.sockets).suited(config.settings)
-                         .before_killed())
+                         .before_killed(config.settings))
             case _:
                 from brackenlane.cli.main import run  # the platform's doorman needs none of it
 
--- a/brackenlane/limits.py
+++ b/brackenlane/limits.py
@@ -19,7 +19,8 @@
     submits: int = 20_000  # ids of writes remembered, so that none runs twice
     first_request: float = 2.5  # from the connection to the end of its first request
     client_idle: float = 5.0  # without an open request; the platform's clients go after 4 s
-    request_time: float = 2.5  # from a later request's first byte to its last; to take an answer
+    request_time: float = 2.5  # from a later request's first byte to its last
+    take_answer: float = 2.5  # to take an answer; longer where clients wait longer
     linger: float = 0.5  # reads on after an error, so that the answer is not lost to a reset
     linger_room: int = 1_048_576  # and no more than so much
     look: float = 0.2  # between two looks at what clients' connections wait for
@@ -48,12 +49,15 @@
     line: int = 2_048  # the longest line of an answer
     link_waiting: int = 100  # open requests on one connection
     links: int = 4  # connections to one box
+    keepalive_part: float = 0.8  # of the time after which a box closes what is idle: then we have done so
     link_share: int = 6  # open requests on each, from which one more connection is opened
-    given_up: int = 512  # ids remembered per connection, whose late answers are ignored
+    given_up: int = 512  # ids remembered per connection, whose late or second answers are ignored
+    moves: int = 1  # of an attempt to another connection, as one ends before a byte of it is out
+    answer_time: float = 6.0  # a connection whose answer takes longer is closed: no client waits so long
     write_stall: float = 1.0  # a connection that takes no byte for so long is closed
     watch: float = 0.05  # between two looks at the connections to boxes while anything is open on one
     watch_idle: float = 0.5  # while nothing is; and nothing there is closed before it was idle for longer
-    keepalive: float = 24.0  # own idle connections are closed before the box does it (30 s)
+    keepalive: float = 24.0  # own idle connections are closed, where the settings tell of no time
     quiet: float = 0.1  # with a request open and no byte for so long, a connection is asked whether it lives
     quiet_price: float = 0.0125  # of a probe, up to which it is asked an aim later; beyond, in proportion
     pulse: float = 0.25  # for its answer to that; then the connection is given up
@@ -84,7 +88,8 @@
     leaving: float = 0.8  # goes on taking what comes
     last_answers: float = 6.5  # then finishes what it has, at most
     parting_words: float = 0.1  # then, for telling those left that they are not served
-    killed: float = 3.7  # after SIGTERM, the platform may end us by force (longest deadlines count as 3 s)
+    killed: float = 0.7  # past the longest deadline after SIGTERM, the platform may end us by force
+    killed_most: float = 3.0  # which that deadline counts as where it is longer
 
     # DNS front
     dns_query: float = 2.0  # for each query, from its arrival to its answer
@@ -127,14 +132,21 @@
     def suited(self, settings: Settings) -> Limits:
         """With the times that follow from what the classes' clients want."""
         aim = min(c.aim for c in settings.classes)
-        mute = max(c.give_up for c in settings.classes) / 2
+        longest = max(c.give_up for c in settings.classes)
+        mute = longest / 2
         # A dear probe waits until there is more to learn by it: what hangs for longer is likely cut off, and
         # answers in the usual time have come by then, for nothing.
         quiet = min(aim * max(1.0, settings.probe_price / self.quiet_price), mute)
         return replace(self, quiet=quiet, pulse=min(aim, settings.connect_timeout), mute=mute,
-                       last_answers=max(c.give_up for c in settings.classes) + 0.5)
+                       longest_wait=max(self.longest_wait, longest),
+                       take_answer=max(self.take_answer, longest),
+                       keepalive=self.keepalive_part * settings.keepalive or self.keepalive,
+                       link_waiting=min(self.link_waiting, settings.streams),
+                       answer_time=longest, last_answers=longest + 0.5)
 
-    def before_killed(self) -> Limits:
+    def before_killed(self, settings: Settings) -> Limits:
         """With the last answers given before the platform ends a process by force."""
-        left = self.killed - self.leaving - 2 * self.parting_words
-        return replace(self, last_answers=min(self.last_answers, left))
+        killed = min(max(c.give_up for c in settings.classes), self.killed_most) + self.killed
+        leaving = min(self.leaving, killed - 2 * self.parting_words)
+        left = killed - leaving - 2 * self.parting_words
+        return replace(self, leaving=leaving, last_answers=min(self.last_answers, left))
--- a/brackenlane/net/clients.py
+++ b/brackenlane/net/clients.py
@@ -121,7 +121,7 @@
         # Connections by what they wait for, the longest so first, and until when they may
         self._waiting: list[dict[Client, float]] = [{} for _ in Waits]
         self._allowed = [math.inf, limits.first_request, limits.client_idle, limits.request_time,
-                         limits.request_time, limits.linger]  # seconds, by what they wait for
+                         limits.take_answer, limits.linger]  # seconds, by what they wait for
         self._count = 0
         self._listeners: list[socket.socket] = []
         self.closing = False  # answers end their connections, and what is idle is closed
--- a/frostsail/drill.py
+++ b/frostsail/drill.py
@@ -49,6 +49,7 @@
             link_kb_per_s=tuple(family.get("PipeKbPerS", ())), pace_kb_per_s=family.get("PaceKbPerS", 0.0),
             edge_cold=edge, parent_cold=parent, tick=raw.get("QuantumS", 0.001),
             answer_slack=rules.get("AnswerSlackS", 0.0), connect_timeout=limits.get("DialTimeoutS", 1.0),
+            keepalive=limits.get("KeepaliveS", 0.0), streams=limits.get("StreamsPerConn", 100),
             purge_done=family.get("GoneEverywhereS", 0.0), max_attempts=limits.get("MaxAttempts", 1),
             max_hold_off=limits.get("MaxRetryAfterS", 0.0) if limits.get("RetryAfter") else 0.0,
             weights_told=raw.get("Weights") != "silent",
--- a/frostsail/interface.py
+++ b/frostsail/interface.py
@@ -162,6 +162,8 @@
     tick: float = 0.001
     answer_slack: float = 0.0
     connect_timeout: float = 1.0
+    keepalive: float = 0.0  # after which a server closes a connection that rests; 0: not told
+    streams: int = 100  # attempts that one connection carries at once
     purge_done: float = 0.0
     max_attempts: int = 1
     max_hold_off: float = 0.0
@@ -197,8 +199,10 @@
                 self.seats[self.locations.index(self.location)] if self.seats else self.gateways):
             raise ValueError(f"setting mate: {self.mate} is no place among the gateways of its location")
         _check("max_attempts", self.max_attempts, 1)
+        _check("streams", self.streams, 1)
         _check("tick", self.tick, above=True)
-        for name in ("pace_kb_per_s", "answer_slack", "connect_timeout", "purge_done", "max_hold_off",
+        for name in ("pace_kb_per_s", "answer_slack", "connect_timeout", "keepalive", "purge_done",
+                     "max_hold_off",
                      "probe_price"):
             _check(name, getattr(self, name))
 
