--- a/brackenlane/core/core.py
+++ b/brackenlane/core/core.py
@@ -75,6 +75,7 @@
     wire_id: str = ""
     tag: str = ""
     body: bytes = b""
+    key: str = ""  # by which boxes drop the repeats of a keyed request
     connect_only: bool = False  # the box is wanted, not the object: reach it and no more
     then: Callable[[Answer], None] | None = None  # called once, with the final answer
     guard: Timer | None = None
--- a/brackenlane/net/boxwire.py
+++ b/brackenlane/net/boxwire.py
@@ -52,10 +52,12 @@
 
 
 def encode_get(wire_id: str, ask: Arrival, fetch: Fetch, budget: float, max_age: float,
-               tag: str, body: bytes) -> bytes:
+               tag: str, body: bytes, key: str = "") -> bytes:
     """The request of one attempt; times are cut to whole milliseconds, never up."""
     fields = {"queue": ask.cls, "path": ask.obj, "blk": str(ask.part),
               "budget": str(max(1, int(budget * 1000)))}
+    if key:
+        fields["uniq"] = key
     if fetch.source != fetch.server:
         fields["miss"] = fetch.source
     if fetch.keep:
--- a/brackenlane/net/clients.py
+++ b/brackenlane/net/clients.py
@@ -32,6 +32,7 @@
 
 TARGET = re.compile(r"/api/v2/([^/?#]{1,64})/([0-9a-f]{16})/n-(0|[1-9]\d{0,8})", re.ASCII)
 TXN = re.compile(r"[0-9a-fA-F]{16}")
+KEY = re.compile(r"[\w.:-]{1,64}", re.ASCII)  # likewise
 TAG = re.compile(r'(?:W/)?"([\w.:-]{1,64})"', re.ASCII)  # goes into a line to a box
 ASKED = re.compile(rb"(?:GET|PUT) /api/v2/([^/?#]{1,64})/")  # how a request for a class begins
 HEALTHY = "/-/healthy"
@@ -60,10 +61,12 @@
     if again not in (None, "1"):
         raise BadRequest(HTTPStatus.BAD_REQUEST, "X-Second-Try must be 1 or absent")
     left = ttl / 1000 - limits.answer_margin
+    if (key := reading.headers.get("x-txn-key", "")) and not KEY.fullmatch(key):
+        raise BadRequest(HTTPStatus.BAD_REQUEST, "X-Txn-Key must be a word of 64 characters at most")
     have = TAG.fullmatch(reading.headers.get("if-none-match", ""))
     arrival = Arrival(name, max(left, 0.001), cls.name, found[2], int(found[3]), shard,
                       is_write=cls.uncached, is_retry=again == "1")
-    return Ask(arrival, now + max(left, 0.001), txn, have[1] if have else "", reading.body)
+    return Ask(arrival, now + max(left, 0.001), txn, have[1] if have else "", reading.body, key)
 
 
 def _number(reading: Reading, name: str, low: int, high: int) -> int:
--- a/brackenlane/net/depots.py
+++ b/brackenlane/net/depots.py
@@ -229,7 +229,8 @@
             return b""
         ask = attempt.ask
         return boxwire.encode_get(ask.wire_id, ask.arrival, attempt.fetch, left,
-                                  self._fleet.max_age(attempt.fetch, ask.arrival, now), ask.tag, ask.body)
+                                  self._fleet.max_age(attempt.fetch, ask.arrival, now), ask.tag, ask.body,
+                                  ask.key)
 
     def _receive(self) -> None:
         try:
--- a/brackenlane/net/http.py
+++ b/brackenlane/net/http.py
@@ -18,8 +18,8 @@
 
 # Of all headers only these are kept; none of them may stand twice (RFC 9110, 5.3).
 KEPT = {name.encode(): name for name in (
-    "x-txn", "x-ttl-ms", "x-shard", "x-second-try", "if-none-match", "content-length", "transfer-encoding",
-    "host", "expect")}
+    "x-txn", "x-ttl-ms", "x-shard", "x-second-try", "x-txn-key", "if-none-match", "content-length",
+    "transfer-encoding", "host", "expect")}
 LENGTH = re.compile(r"\d{1,12}", re.ASCII)
 PLAIN = re.compile(rb"GET (/[^ \r\n]{1,200}) HTTP/1\.1\r\n").match
 Headers = dict[str, str]
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -43,6 +43,11 @@
             told = asked.fields
             assert (told["queue"], told["path"], told["blk"]) == ("video-parts", "7f3a9c21e0b4d655", "3")
             assert told["miss"] == ORIGIN and 0 < int(told["budget"]) <= 2000
+            assert "uniq" not in told
+            await doorman.ask("sheet-submit", body=b"signed", X_Txn_Key="aad3d43f3c9565f6")
+            assert (edge.asked + origin.asked)[-1].fields["uniq"] == "aad3d43f3c9565f6"
+            assert (await doorman.ask(X_Txn_Key="a,b"))[0] == 400
+            edge.asked = edge.asked[:1]
             edge.answer = lambda asked: data(asked, b"", "unchanged")
             status, headers, body = await doorman.ask(If_None_Match='"e1"')
             assert (status, headers["etag"], body) == (304, '"e1"', b"")
