One check as an attempt's first byte goes out: its client, its request, its window

- A client's request and its end unread together: the box was asked (three forms: alone, with a second request behind it, with 9 kB of anything). clients.py served what stood in the queue before it read on.
- A box's failure and the client's end unread together: boxes come first (board.turn), so a further attempt went out for nobody.
- Behind a connect, where Limits.Cancel is false: the module orders no cancel then, and depots.py, _prepare, asked for `cancelled` alone, not whether the request was over.
- A keyed write's repeat that waited for a connect went out past its window: _may_send judged it at the decision only.
Fetch.until now goes with the attempt.
- A second answer `full` to a submit passed for that of the next attempt, so it ran twice: an id that was answered goes another way, unless all that can follow is another look for the same object.
- An answer that drips on for ever kept its connection, and what came next waited behind it.

Attempt.time_to_go (core.py) is the one place now: request over, cancelled, window, drain of box and source, time left, and last the client's socket, read to its end. Also: what a link ends with unwritten goes to another link once instead of counting as a connect that failed (which takes the box out); a link that rested is read before it is written, so that a box's own close is seen first.

--- a/brackenlane/core/core.py
+++ b/brackenlane/core/core.py
@@ -78,6 +78,8 @@
     key: str = ""  # by which boxes drop the repeats of a keyed request
     connect_only: bool = False  # the box is wanted, not the object: reach it and no more
     then: Callable[[Answer], None] | None = None  # called once, with the final answer
+    stays: Callable[[], bool] | None = None  # whether its client is still there, looked at when called
+    repeatable: bool = True  # whether it may run twice
     guard: Timer | None = None
     answer: Answer | None = None
     over: bool = False  # nothing more is owed; attempts may still be out
@@ -103,6 +105,19 @@
     reply: Reply | None = None
 
 
+    def time_to_go(self, fleet: Fleet, now: float) -> float:
+        """The time its box has for it, if its first byte may go out at this very moment; else at most 0.
+
+        The one check of all that may have changed since it was decided, however long it waited, and for what.
+        """
+        ask, fetch = self.ask, self.fetch
+        if self.reply or self.cancelled or ask.over or now > fetch.until or not fleet.allows(fetch):
+            return 0.0
+        left = min(self.started + fetch.timeout, ask.deadline) - now
+        # Last, since it may end the request: its client may have left, unheard as yet.
+        return left if left > 0 and (ask.stays is None or ask.stays()) else 0.0
+
+
 Message = Ask | Event | tuple[Attempt, Reply]
 Place = Callable[[Attempt], bool]
 
@@ -224,6 +239,7 @@
                 return
             name = message.arrival.request
             self._asks[name] = message
+            message.repeatable = self.effects.get(message.arrival.cls) is Effect.SAFE
             # Guards against a request that the module lost or failed on.
             message.guard = self.timers.at(message.deadline + self.limits.core_slack, self._lost, name)
             self._handle(message.arrival, now)
--- a/brackenlane/lab/standins/box.py
+++ b/brackenlane/lab/standins/box.py
@@ -51,6 +51,7 @@
     id: str
     fields: dict[str, str]
     body: bytes
+    link: int = 0  # the number of its connection, from 1
 
 
 def data(asked: Asked, body: bytes = b"bytes", word: str = "data", **more: str) -> bytes:
@@ -71,7 +72,9 @@
     dropped: list[str] = field(default_factory=list)
     alive: bool = True  # whether it answers PING
     most: int = 0  # requests that came on one connection
+    links: int = 0  # connections so far
     news: trio.Event = field(default_factory=trio.Event)
+    _streams: list[trio.SocketStream] = field(default_factory=list)
 
     async def until(self, true: Callable[[], bool]) -> None:
         """Wait until what this box has seen makes something true."""
@@ -79,8 +82,15 @@
             self.news = trio.Event()
             await self.news.wait()
 
+    async def say(self, link: int, text: bytes) -> None:
+        """Say something on one connection."""
+        await self._streams[link - 1].send_all(text)
+
     async def _serve(self, stream: trio.SocketStream) -> None:
+        self._streams.append(stream)
         buffer, here = b"", 0
+        self.links += 1
+        link = self.links
         with contextlib.suppress(trio.BrokenResourceError):
             while got := await stream.receive_some(65536):
                 buffer += got
@@ -100,7 +110,7 @@
                             break
                         buffer = rest[int(size) + 2:]
                         fields = dict(pair.split("=") for pair in told.split(","))
-                        asked = Asked(wire_id, fields, rest[:int(size)])
+                        asked = Asked(wire_id, fields, rest[:int(size)], link)
                         self.asked.append(asked)
                         here += 1
                         self.most = max(self.most, here)
--- a/brackenlane/net/boxwire.py
+++ b/brackenlane/net/boxwire.py
@@ -92,6 +92,11 @@
         self._buffer = bytearray()
         self._head: tuple[str, str, dict[str, str], int] | None = None
 
+    @property
+    def partial(self) -> bool:
+        """Whether an answer has begun and not ended."""
+        return bool(self._buffer) or self._head is not None
+
     def feed(self, data: bytes | bytearray) -> Iterator[BoxAnswer]:
         """The answers that these bytes complete."""
         self._buffer += data
--- a/brackenlane/net/clients.py
+++ b/brackenlane/net/clients.py
@@ -356,7 +356,7 @@
         if claim is Claim.TAKEN:
             raise BadRequest(HTTPStatus.CONFLICT, "this X-Txn has been taken already")
         self._txns.add(ask.wire_id)
-        client.ask = ask
+        client.ask, ask.stays = ask, client.stays
         ask.then = functools.partial(self._answered, client, ask)
         if self._claims and self._nursery and self._unsafe(ask):
             self._nursery.start_soon(self._claim, client, ask, self._claims)
@@ -466,15 +466,28 @@
             log.exception("a client's connection failed")
             self.close()
 
-    def _receive(self) -> None:
+    def stays(self) -> bool:
+        """Whether the client is still there, by its socket at this moment: its end may not have been read."""
+        for _ in range(4):  # what stands before that end has a bound too
+            if not self.open or not self._receive():
+                break
+        return self.open
+
+    def _receive(self) -> bool:
+        """Take what has come; whether anything had."""
         try:
             data = self._sock.recv(16_384)
         except BlockingIOError:
-            return
+            return False
         except OSError:
             data = b""
-        if not data:
-            return self.close()  # left: nothing is owed
+        if data:
+            self._heed(data)
+        else:
+            self.close()  # left: nothing is owed
+        return True
+
+    def _heed(self, data: bytes) -> None:
         if self._waits is Waits.BYE:
             if self._unasked and (found := ASKED.match(data)):
                 self._unasked = False
--- a/brackenlane/net/depots.py
+++ b/brackenlane/net/depots.py
@@ -28,7 +28,7 @@
 class Slot:
     """One attempt at a box, from its placing to its outcome."""
 
-    __slots__ = ("attempt", "id", "sent", "link", "timer", "_report")
+    __slots__ = ("attempt", "id", "sent", "link", "timer", "moves", "_report")
 
     def __init__(self, attempt: Attempt, report: Report) -> None:
         self.attempt, self._report = attempt, report
@@ -36,6 +36,7 @@
         self.sent = 0.0
         self.link: Link | None = None
         self.timer: Timer | None = None
+        self.moves = 0  # to another connection, since one ended before a byte of it was out
 
     @property
     def over(self) -> bool:
@@ -66,15 +67,18 @@
     """One connection to a box: answers arrive in any order."""
 
     def __init__(self, sock: socket.socket, board: Board, fleet: Fleet, limits: Limits,
-                 may_probe: bool, tried: Tried) -> None:
+                 may_probe: bool, tried: Tried, again: Callable[[Slot], None]) -> None:
         self._sock, self._board, self._tried = sock, board, tried
+        self._again = again  # takes back an attempt of which no byte is out
+        self._reading = False
+        self._begun = 0.0  # since when an answer has been coming in, 0: none is
         self._fleet, self._limits, self._may_probe = fleet, limits, may_probe
         self._parser = boxwire.Parser(limits)
         self._heard = time.time()  # when bytes came last, or the first of what is open was written
         self._stuck = 0.0  # since when it takes no byte
         self._asked = False  # whether it lives
         self._waiting: dict[str, Slot] = {}
-        self._given_up: OrderedDict[str, None] = OrderedDict()
+        self._past: OrderedDict[str, None] = OrderedDict()  # ids to which more may come
         self._out: deque[Slot | bytes] = deque()
         self._rest = memoryview(b"")  # of what has been written in part
         self._whole: Slot | None = None  # the attempt that is, once the rest is out
@@ -84,10 +88,12 @@
     def takes(self, wire_id: str) -> bool:
         """Whether a request may go this way.
 
-        Guards against the late answer to an attempt given up passing for that of the next with its id.
+        Guards against a late answer to an attempt given up, or a second one, passing for that of the next
+        with its id; and against waiting behind the rest of an answer that nobody wants, which may never end.
         """
-        return (self.open and len(self._waiting) < self._limits.link_waiting
-                and wire_id not in self._waiting and wire_id not in self._given_up)
+        stuck = self._begun and not self._waiting and time.time() - self._begun > self._limits.quiet
+        return (self.open and len(self._waiting) < self._limits.link_waiting and not stuck
+                and wire_id not in self._waiting and wire_id not in self._past)
 
     @property
     def load(self) -> int:
@@ -114,23 +120,32 @@
         """Tell the box that an attempt is wanted no more."""
         if not self.open:
             return
-        self._given_up[slot.id] = None
-        if len(self._given_up) > self._limits.given_up:
-            self._given_up.popitem(last=False)
+        self._remember(slot.id)
         self._out.appendleft(boxwire.encode_drop(slot.id))
         self._flush()
 
+    def _remember(self, wire_id: str) -> None:
+        self._past[wire_id] = None
+        if len(self._past) > self._limits.given_up:
+            self._past.popitem(last=False)
+
     def close(self) -> None:
-        """End the connection; what waits here is told."""
+        """End the connection; what waits here is told, or goes another way if no byte of it is out."""
         if not self.open:
             return
         self.open = False
         self._board.remove(self._sock.fileno())
         self._sock.close()
         self._out.clear()
-        for slot in list(self._waiting.values()):
-            slot.settle(Reply(Verdict.BROKEN if slot.attempt.written else Verdict.UNREACHABLE,
-                              time.time() - slot.attempt.started))
+        waiting, self._waiting = list(self._waiting.values()), {}
+        for slot in waiting:
+            slot.link = None
+            if not slot.attempt.written and slot.moves < self._limits.moves:
+                slot.moves += 1
+                self._again(slot)
+            else:
+                slot.settle(Reply(Verdict.BROKEN if slot.attempt.written else Verdict.UNREACHABLE,
+                                  time.time() - slot.attempt.started))
 
     def watch(self, now: float, lag: float) -> None:
         """Look after a connection that says or takes nothing, `lag` seconds of which were our own."""
@@ -139,6 +154,9 @@
         # Guards against a mute machine behind whose full buffer every later line would wait.
         if self._stuck and now - self._stuck > self._limits.write_stall:
             return self.close()
+        if self._begun and now - self._begun > self._limits.answer_time:
+            log.warning("a box's answer does not end, %d requests open", len(self._waiting))
+            return self.close()
         if self._asked:
             wait = self._limits.quiet + self._limits.pulse
         elif self.idle:
@@ -175,6 +193,9 @@
         """Write until all is out or the connection takes no more."""
         if self._stuck:
             return
+        # Guards against a request that crosses the end of a connection that rested: it might have run.
+        if self._out and not self._reading and not any(s.attempt.written for s in self._waiting.values()):
+            self._receive()
         try:
             while self.open and (self._rest or self._out):
                 if not self._rest:
@@ -201,7 +222,7 @@
     def _write(self, slot: Slot) -> memoryview:
         """Begin to write an attempt; what the connection did not take of it."""
         data = self._prepare(slot)
-        if not data:
+        if not data or not self.open:
             return memoryview(b"")
         attempt = slot.attempt
         try:
@@ -221,10 +242,8 @@
     def _prepare(self, slot: Slot) -> bytes:
         """The bytes of an attempt, if it may still go out at this very moment."""
         attempt, now = slot.attempt, time.time()
-        if slot.over or attempt.cancelled:
-            return b""
-        left = min(attempt.started + attempt.fetch.timeout, attempt.ask.deadline) - now
-        if left <= 0 or not self._fleet.allows(attempt.fetch):
+        left = attempt.time_to_go(self._fleet, now)
+        if left <= 0:
             slot.settle(NEVER_SENT)
             return b""
         ask = attempt.ask
@@ -241,16 +260,23 @@
             data = b""
         if not data:
             return self.close()
-        self._heard, self._asked = time.time(), False
+        self._heard, self._asked, self._reading = time.time(), False, True
+        whole = False
         try:
             for answer in self._parser.feed(data):
+                whole = True
                 self._answer(answer)
         except boxwire.WireError as fault:
             log.warning("a box that can't be read: %s", fault)
             self.close()
+        finally:
+            self._reading = False
+        if whole or not self._parser.partial:
+            self._begun = self._heard if self._parser.partial else 0.0
+        elif not self._begun:
+            self._begun = self._heard
 
     def _answer(self, answer: boxwire.BoxAnswer) -> None:
-        self._given_up.pop(answer.id, None)
         slot = self._waiting.get(answer.id)
         if slot is None or not slot.attempt.written:
             return
@@ -267,6 +293,9 @@
             if old or bare or (unchanged and tag != ask.tag):
                 log.warning("%s answered with what can't be served", slot.attempt.fetch.server)
                 verdict, body = Verdict.ERROR, b""
+        # A second answer does no harm where all that can follow is another look for the same object.
+        if not (verdict.never_ran and ask.repeatable):
+            self._remember(slot.id)
         slot.settle(Reply(verdict, now - slot.sent, answer.note, body, tag, unchanged,
                           answer.issued))
 
@@ -366,7 +395,7 @@
         elif sock:
             self._links = [*(at for at in self._links if at.open),
                            Link(sock, self.board, self._fleet, self._limits, self._may_probe,
-                                self._tried)]
+                                self._tried, self._serve)]
         for slot in waiting:
             wait = time.time() - slot.attempt.started
             if sock is None:
--- a/frostsail/brain.py
+++ b/frostsail/brain.py
@@ -406,10 +406,12 @@
         # sees a part of a location's requests can't tell, and what it ranked high would never be pushed out.
         known = self.seats < 2 and self.heat.get(request.ask.copy, (0.0, now))[0] > request.work
         named = self.origin if edge is asked and self.origin else asked or edge  # a parent fills only if told
+        cls = request.cls
+        keyed = request.ran is not None and cls.effect is Effect.KEYED
         self.actions.append(Fetch(
             request.ask.request, edge.me.server, left if self.s.may_cancel else min(left, patience),
-            named.me.server, 0 if request.cls.uncached else 1 + known, age, self.s.joins,
-            request.cls.fresh > 0, held))
+            named.me.server, 0 if cls.uncached else 1 + known, age, self.s.joins, cls.fresh > 0, held,
+            request.first_ran + cls.repeat_window if keyed else math.inf))
 
     def _learn(self, request: Request, wait: float) -> None:
         """Usual waits, in aims; what is overdue counts double, so in a jam patience grows."""
--- a/frostsail/interface.py
+++ b/frostsail/interface.py
@@ -322,6 +322,7 @@
     join: bool = False
     renew: bool = False
     held_only: bool = False  # the source gives only what it holds
+    until: float = math.inf  # when its first byte may go out last: a repeat's window ends
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -1,15 +1,97 @@
-"""What ends something, and who is owed what then: the real program, each crossing forced by the peers."""
+"""What ends something, and who is owed what then: the real program, each crossing forced by the peers.
+
+The doorman stands still (SIGSTOP) while a peer does two things that must meet, so that it finds both done.
+"""
 
 from __future__ import annotations
 
+import contextlib
 import signal
+import socket
+from collections.abc import AsyncIterator, Callable, Iterator
+from dataclasses import dataclass
+from hashlib import blake2b
 from pathlib import Path
+from typing import Any
 
+import pytest
 import trio
 
-from tests.stand_ins import SETTINGS, Box, platform, with_trio
+from tests.stand_ins import SETTINGS, Asked, Box, Program, Reply, data, platform, with_trio
+
+EDGE, OTHER, ORIGIN = "s-00000001", "s-00000002", "s-00000009"
+MODELS = {ORIGIN: "origin"}
+
+
+async def fleet(nursery: trio.Nursery, *names: str, answer: Callable[[Asked], Reply] = data) -> list[Box]:
+    """Boxes that answer alike."""
+    return [await Box(name, MODELS.get(name, "type-a"), answer).open(nursery) for name in names]
+
+
+def limits(**told: Any) -> dict[str, Any]:
+    """Settings whose limits differ from the usual ones."""
+    return {"Limits": {**SETTINGS["Limits"], **told}}
+
+
+def request(txn: str, cls: str = "video-parts", obj: str = "7f3a9c21e0b4d655") -> bytes:
+    """A read as its bytes."""
+    return (f"GET /api/v2/{cls}/{obj}/n-3 HTTP/1.1\r\nHost: a\r\nX-Txn: {txn}\r\nX-Ttl-Ms: 3000\r\n"
+            "X-Shard: 17\r\n\r\n").encode()
+
+
+@contextlib.asynccontextmanager
+async def still(doorman: Program) -> AsyncIterator[None]:
+    """The doorman stands still, and finds all that was done meanwhile at once."""
+    doorman.process.send_signal(signal.SIGSTOP)
+    try:
+        yield
+    finally:
+        doorman.process.send_signal(signal.SIGCONT)
+
+
+@dataclass
+class Late:
+    """A listener whose queue is full."""
+
+    port: int
+    fillers: set[int]  # the ports of those who fill it
+    empty: Callable[[], socket.socket]  # gives out the first connection besides theirs
+
+    async def tried(self) -> None:
+        """Wait until a connect to it has been tried and not answered (proc(5), state SYN_SENT)."""
+        def waits(at: str, to: str, state: str) -> bool:
+            mine, far = (int(end.partition(":")[2], 16) for end in (at, to))
+            return far == self.port and mine not in self.fillers and state == "02"
+
+        while not any(waits(*line.split()[1:4]) for line in
+                      Path("/proc/net/tcp").read_text().splitlines()[1:]):
+            await trio.sleep(0.01)
 
-EDGE, ORIGIN = "s-00000001", "s-00000009"
+
+@contextlib.contextmanager
+def late_listener() -> Iterator[Late]:
+    """A port where no handshake is answered until its queue is emptied."""
+    with socket.socket() as mute, contextlib.ExitStack() as full:
+        mute.bind(("127.0.0.1", 0))
+        mute.listen(0)
+        waiting = [full.enter_context(socket.socket()) for _ in range(4)]
+        for sock in waiting:
+            sock.setblocking(False)
+            sock.connect_ex(mute.getsockname())
+
+        def empty() -> socket.socket:
+            for sock in waiting:
+                sock.close()
+            mute.listen(16)
+            while True:
+                found, _ = mute.accept()
+                found.settimeout(10)
+                if found.getpeername()[1] not in ports:
+                    return found
+                found.close()
+
+        ports = {sock.getsockname()[1] for sock in waiting}
+        yield Late(mute.getsockname()[1], ports, empty)
 
 
 @with_trio
@@ -17,8 +99,7 @@
     """Deadlines of 2 s: SIGKILL comes 2.7 s after SIGTERM, whatever a client's own patience."""
     classes = [{**c, "GiveUpS": 2.0} for c in SETTINGS["Classes"]]
     async with trio.open_nursery() as nursery:
-        boxes = [await Box(name, model, lambda asked: None).open(nursery)
-                 for name, model in ((EDGE, "type-a"), (ORIGIN, "origin"))]
+        boxes = await fleet(nursery, EDGE, ORIGIN, answer=lambda asked: None)
         async with platform(tmp_path, boxes, probe=True, settings={"Classes": classes}) as doorman:
             async with trio.open_nursery() as clients:
                 found: list[int] = []
@@ -34,3 +115,163 @@
                 doorman.process.kill()
             assert found == [503]
         nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("more", [b"", request("2" * 16), b"x" * 9_000])
+@with_trio
+async def test_left_before_its_request_was_read(tmp_path: Path, more: bytes) -> None:
+    """Request, what may come behind it, and the client's end stand unread together: no box hears of it."""
+    async with trio.open_nursery() as nursery:
+        boxes = await fleet(nursery, EDGE, ORIGIN)
+        async with platform(tmp_path, boxes) as doorman:
+            await doorman.ask()  # a connection to the box is up
+            async with still(doorman):
+                with socket.create_connection(("127.0.0.1", doorman.port)) as client:
+                    client.sendall(request("1" * 16) + more)
+            assert (await doorman.ask(txn="3" * 16))[0] == 200
+            ids = [asked.id for box in boxes for asked in box.asked]
+            assert ids[1:] == ["3" * 16]
+        nursery.cancel_scope.cancel()
+
+
+@with_trio
+async def test_left_before_the_next_attempt(tmp_path: Path) -> None:
+    """A box's failure and the client's end come together: boxes are heard first, yet none is tried again."""
+    async with trio.open_nursery() as nursery:
+        first: list[Asked] = []
+
+        def hold(asked: Asked) -> Reply:
+            first.append(asked)
+            heard.set()
+            return None
+
+        heard = trio.Event()
+        boxes = await fleet(nursery, EDGE, OTHER, ORIGIN)
+        async with platform(tmp_path, boxes) as doorman:
+            for n in range(8):  # connections are up
+                await doorman.ask(obj=f"{n:016x}")
+            for box in boxes:
+                box.answer = hold
+            with socket.create_connection(("127.0.0.1", doorman.port)) as client:
+                client.sendall(request("1" * 16))
+                await heard.wait()
+                holder = next(box for box in boxes if first[0] in box.asked)
+                async with still(doorman):
+                    client.close()
+                    await holder.say(first[0].link, data(first[0], b"", "failed"))
+            for box in boxes:
+                box.answer = data
+            assert (await doorman.ask(txn="3" * 16))[0] == 200
+            assert [asked.id for box in boxes for asked in box.asked].count("1" * 16) == 1
+        nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("cancel", [True, False])
+@with_trio
+async def test_left_while_a_connect_was_under_way(tmp_path: Path, cancel: bool) -> None:
+    """What waits for a connect is not sent once its client has left, also where nothing may be cancelled."""
+    async with trio.open_nursery() as nursery:
+        origin, = await fleet(nursery, ORIGIN)
+        slow = Box(EDGE)
+        with late_listener() as late:
+            slow.port = late.port
+            async with platform(tmp_path, [slow, origin], settings=limits(
+                    Cancel=cancel, DialTimeoutS=8.0)) as doorman:
+                gone = await trio.open_tcp_stream("127.0.0.1", doorman.port)
+                await gone.send_all(request("1" * 16))
+                stays = await trio.open_tcp_stream("127.0.0.1", doorman.port)
+                await stays.send_all(request("2" * 16).replace(b"3000", b"9000"))
+                await doorman.ask("sheet-submit", body=b"x", ttl=300)  # both have been read by now
+                await late.tried()
+                await gone.aclose()
+                box = await trio.to_thread.run_sync(late.empty)
+                with box:
+                    found = await trio.to_thread.run_sync(box.recv, 65536)
+            assert found.startswith(b"GET " + b"2" * 16) and b"1" * 16 not in found
+        nursery.cancel_scope.cancel()
+
+
+@with_trio
+async def test_second_answer_is_none_to_the_next_attempt(tmp_path: Path) -> None:
+    """A box says twice that a submit did not run, the second time after it was asked again: it runs once."""
+    runs: list[Asked] = []
+    came: list[Asked] = []
+
+    def answer(asked: Asked) -> Reply:
+        came.append(asked)
+        if len(came) == 1:
+            return data(asked, b"", "full")
+        runs.append(asked)
+        return data(asked, b"", "full" if asked.link == came[0].link and len(came) == 2 else "data")
+
+    async with trio.open_nursery() as nursery:
+        boxes = await fleet(nursery, ORIGIN, answer=answer)
+        async with platform(tmp_path, boxes) as doorman:
+            status, _, _ = await doorman.ask("sheet-submit", body=b"signed")
+            assert len(runs) == 1 and status == 200
+        nursery.cancel_scope.cancel()
+
+
+@with_trio
+async def test_answer_that_never_ends(tmp_path: Path) -> None:
+    """A connection on which an answer drips on for longer than any client waits is given up."""
+    classes = [{**c, "GiveUpS": 1.0} for c in SETTINGS["Classes"]]
+    async with trio.open_nursery() as nursery:
+        ended = trio.Event()
+
+        def answer(asked: Asked) -> Reply:
+            if asked.id != "1" * 16:
+                return data(asked)
+            nursery.start_soon(drip, asked)
+            return None
+
+        async def drip(asked: Asked) -> None:
+            with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+                await boxes[0].say(asked.link, data(asked, bytes(200_000))[:-190_000])
+                while True:
+                    await boxes[0].say(asked.link, b"x")
+                    await trio.sleep(0.02)
+            ended.set()
+
+        boxes = await fleet(nursery, EDGE, answer=answer)
+        async with platform(tmp_path, boxes, settings={"Classes": classes}) as doorman:
+            assert (await doorman.ask(txn="1" * 16, ttl=400))[0] in (503, 504)
+            assert (await doorman.ask(ttl=900))[0] == 200  # not behind what drips
+            await ended.wait()
+        nursery.cancel_scope.cancel()
+
+
+@with_trio
+async def test_repeat_is_not_sent_past_its_window(tmp_path: Path) -> None:
+    """A keyed write may have run; its repeat waits for a connect until the window is over: unsent."""
+    classes = [*SETTINGS["Classes"][:2],
+               {**SETTINGS["Classes"][2], "Effect": "dedup", "WindowS": 0.5, "GiveUpS": 9.0}]
+
+    def rank(server: str, obj: str) -> bytes:  # rendezvous hash, as the module ranks boxes of one weight
+        return blake2b(f"{obj}/3/{server}".encode(), digest_size=8).digest()
+
+    obj = next(o for o in (f"{n:016x}" for n in range(99)) if rank(EDGE, o) > rank(OTHER, o))
+    async with trio.open_nursery() as nursery:
+        edge, origin = await fleet(nursery, EDGE, ORIGIN, answer=lambda asked: data(asked, b"", "failed"))
+        slow = Box(OTHER)
+        with late_listener() as late:
+            slow.port = late.port
+            async with platform(tmp_path, [edge, slow, origin], settings={
+                    **limits(DialTimeoutS=8.0), "Classes": classes}) as doorman:
+                status, heard = 0, b""
+
+                async def ask() -> None:
+                    nonlocal status
+                    status = (await doorman.ask("sheet-submit", obj, b"signed", ttl=8000))[0]
+
+                async with trio.open_nursery() as client:
+                    client.start_soon(ask)
+                    await edge.until(lambda: bool(edge.asked))
+                    await late.tried()
+                    box = await trio.to_thread.run_sync(late.empty)  # after TCP's first wait, 1 s
+                assert status in (502, 503)
+                box.setblocking(False)
+                with box, contextlib.suppress(BlockingIOError):
+                    heard = box.recv(65536)
+                assert not heard and len(edge.asked) == 1
+        nursery.cancel_scope.cancel()
