Keep descriptors back for change log, boxes and operators; a connect always ends

Seen in a test (64 descriptors, 80 clients that rest, the change log away): the log is never asked again and no request is served; "no file descriptors" ends the timer that was to connect. Dial.__init__ opened its socket outside of any guard: OSError EMFILE went through ChangeLog._connect into Timers.ring ("a timer failed"), and no further try was ever planned; from a request it went through Core.post to the door, which closed the client unanswered. And nothing bounded the parts together: clients were bounded by the configuration's `sockets`, not by what the process may open, links by box only.

Now Limits.within divides the lesser of both numbers; Places bounds connections to all boxes, and a resting one gives way to one that is needed; Dial opens its socket as it starts and ends like any other try; want of a descriptor blames no box (NEVER_SENT in the place of a connect that failed).

--- a/brackenlane/__main__.py
+++ b/brackenlane/__main__.py
@@ -4,6 +4,7 @@
 
 import logging
 import os
+import resource
 import signal
 import sys
 import time
@@ -106,7 +107,8 @@
         match words:
             case []:
                 config = load(os.environ.get("GW_CONFIG"), os.environ.get("GW_OPS", ""))
-                trio.run(serve, config, Limits().within(config.sockets).suited(config.settings)
+                sockets = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+                trio.run(serve, config, Limits().within(sockets).suited(config.settings)
                          .before_killed(config.settings))
             case _:
                 from brackenlane.cli.main import run  # the platform's doorman needs none of it
--- a/brackenlane/limits.py
+++ b/brackenlane/limits.py
@@ -29,6 +29,9 @@
     answer_slack: float = 0.05  # past a client's time, within which an answer still counts
     retry_after: int = 1  # whole seconds, on a refusal for which the module names no time
 
+    # Descriptors
+    own: int = 24  # kept back for our own: listeners, epolls, signals, ledger, change log, files
+
     # Operators
     ops_head: int = 4_096  # of a call, and of what may follow it
     ops_calls: int = 16  # callers at once; who comes then takes the place of who has waited longest
@@ -49,6 +52,7 @@
     line: int = 2_048  # the longest line of an answer
     link_waiting: int = 100  # open requests on one connection
     links: int = 4  # connections to one box
+    box_links: int = 400  # to all boxes together; past it a connection that rests gives way
     keepalive_part: float = 0.8  # of the time after which a box closes what is idle: then we have done so
     link_share: int = 6  # open requests on each, from which one more connection is opened
     given_up: int = 512  # ids remembered per connection, whose late or second answers are ignored
@@ -125,9 +129,15 @@
     console_idle: float = 600.0
 
     def within(self, sockets: int) -> Limits:
-        """With no more connections than so many descriptors allow; clients use a third of them at most."""
-        return replace(self, clients=min(self.clients, sockets * 2 // 5),
-                       links=min(self.links, max(2, sockets // 96)))
+        """With no more connections than so many descriptors allow; clients use a third of them at most.
+
+        The parts add up to less than all: whoever rests, boxes, change log and operators have theirs.
+        """
+        clients = min(self.clients, sockets * 2 // 5)
+        refused, ops_calls = min(self.refused, sockets // 24), min(self.ops_calls, sockets // 24)
+        return replace(self, clients=clients, refused=refused, ops_calls=ops_calls,
+                       links=min(self.links, max(2, sockets // 96)),
+                       box_links=max(4, sockets - clients - refused - ops_calls - self.own))
 
     def suited(self, settings: Settings) -> Limits:
         """With the times that follow from what the classes' clients want."""
--- a/brackenlane/net/depots.py
+++ b/brackenlane/net/depots.py
@@ -63,12 +63,34 @@
                               time.time() - self.attempt.started))
 
 
+class Places:
+    """The descriptors that connections to boxes may have, all boxes together; the others are kept for the
+    change log, operators and clients. One is taken as a connect begins, given back as its connection ends.
+    """
+
+    def __init__(self, most: int) -> None:
+        self._most, self._taken = most, 0
+        self.make_room: Callable[[], bool] = lambda: False  # ends a connection that rests; whether one did
+
+    def take(self, needed: bool) -> bool:
+        """Whether there is one; needed: also in the place of a connection that rests."""
+        if self._taken >= self._most and not (needed and self.make_room()):
+            return False
+        self._taken += 1
+        return True
+
+    def give(self) -> None:
+        """One is free again."""
+        self._taken -= 1
+
+
 class Link:
     """One connection to a box: answers arrive in any order."""
 
     def __init__(self, sock: socket.socket, board: Board, fleet: Fleet, limits: Limits,
-                 may_probe: bool, tried: Tried, again: Callable[[Slot], None]) -> None:
+                 may_probe: bool, tried: Tried, again: Callable[[Slot], None], places: Places) -> None:
         self._sock, self._board, self._tried = sock, board, tried
+        self._places = places
         self._again = again  # takes back an attempt of which no byte is out
         self._reading = False
         self._begun = 0.0  # since when an answer has been coming in, 0: none is
@@ -105,6 +127,11 @@
         """Whether nothing waits for an answer here."""
         return not self._waiting and not self._asked
 
+    @property
+    def heard(self) -> float:
+        """When bytes came last, or the first of what is open was written."""
+        return self._heard
+
     def send(self, slot: Slot) -> None:
         """Send an attempt, now if the connection takes it."""
         slot.link = self
@@ -136,6 +163,7 @@
         self.open = False
         self._board.remove(self._sock.fileno())
         self._sock.close()
+        self._places.give()
         self._out.clear()
         waiting, self._waiting = list(self._waiting.values()), {}
         for slot in waiting:
@@ -304,8 +332,9 @@
     """The actor of one box: it performs attempts, as they are posted, on connections of its own."""
 
     def __init__(self, server: str, endpoint: Endpoint, fleet: Fleet, limits: Limits, settings: Settings,
-                 report: Report, board: Board, timers: Timers, tried: Tried) -> None:
+                 report: Report, board: Board, timers: Timers, tried: Tried, places: Places) -> None:
         self.server, self.endpoint, self.board, self.timers = server, endpoint, board, timers
+        self._places = places
         self._tried = tried
         self._fleet, self._limits, self._report = fleet, limits, report
         self.connect_timeout, self._may_probe = settings.connect_timeout, settings.may_probe
@@ -335,6 +364,11 @@
         """The box is gone: finish what is out, take nothing more."""
         self._leaving = True
 
+    @property
+    def links(self) -> list[Link]:
+        """All connections that are open."""
+        return [link for link in (*self._links, *self._old) if link.open]
+
     @property
     def busy(self) -> bool:
         """Whether an answer is waited for."""
@@ -356,12 +390,13 @@
         if slot.attempt.ask.connect_only:
             return self._want_link(slot)
         links = [at for at in self._links if at.takes(slot.id)]
-        room = len(self._links) < self._limits.links and self._fleet.allows(slot.attempt.fetch)
+        few = sum(at.open for at in self._links) < self._limits.links
+        room = few and self._fleet.allows(slot.attempt.fetch)
         if links:
             link = min(links, key=lambda at: at.load)
             # Guards against losing all that is open at a box with one connection that ends or goes mute.
             if room and link.load >= self._limits.link_share:
-                self._start_dial()
+                self._start_dial(needed=False)
             link.send(slot)
         elif room:
             self._want_link(slot)
@@ -375,9 +410,13 @@
         self._mail.append(slot)
         self._start_dial(keep=not slot.attempt.ask.connect_only)
 
-    def _start_dial(self, keep: bool = True) -> None:
+    def _start_dial(self, keep: bool = True, needed: bool = True) -> None:
         if self._dial:
             self._dial.keep |= keep
+        elif not self._places.take(needed):
+            waiting, self._mail = self._mail, deque()
+            for slot in waiting:  # our own want says nothing of the box
+                slot.settle(NEVER_SENT)
         else:
             self._dial = Dial(self.endpoint, self.board, self.timers, self.connect_timeout, self.dialled,
                               keep)
@@ -392,13 +431,18 @@
             sock = None
         if sock and not dial.keep:
             sock.close()
-        elif sock:
+            self._places.give()
+        elif sock is None:
+            self._places.give()
+        else:
             self._links = [*(at for at in self._links if at.open),
                            Link(sock, self.board, self._fleet, self._limits, self._may_probe,
-                                self._tried, self._serve)]
+                                self._tried, self._serve, self._places)]
         for slot in waiting:
             wait = time.time() - slot.attempt.started
-            if sock is None:
+            if dial.starved:
+                slot.settle(NEVER_SENT)
+            elif sock is None:
                 slot.settle(Reply(Verdict.UNREACHABLE, wait))
             elif slot.attempt.ask.connect_only:
                 slot.settle(Reply(Verdict.OK, wait))
@@ -416,6 +460,8 @@
         self._board, self._timers, self._settings = board, timers, settings
         self._endpoints: dict[str, Endpoint] = {}
         self._peers: dict[str, Peer] = {}
+        self._places = Places(limits.box_links)
+        self._places.make_room = self._end_resting
         self._gone: list[Peer] = []  # off the list, with something out
         self._look = self._look_in(time.time(), limits.watch)
         self._idle = False  # nothing is open anywhere: looks are far between
@@ -432,13 +478,20 @@
                 return False
             peer = self._peers[server] = Peer(server, self._endpoints[server], self._fleet, self._limits,
                                               self._settings, self._report, self._board, self._timers,
-                                              self._tried)
+                                              self._tried, self._places)
         if self._idle:
             self._idle = False
             self._look.cancel()
             self._look = self._look_in(time.time(), self._limits.watch)
         return peer.post(attempt)
 
+    def _end_resting(self) -> bool:
+        """End the connection that has rested longest; whether there was one."""
+        resting = [link for peer in (*self._peers.values(), *self._gone) for link in peer.links if link.idle]
+        if resting:
+            min(resting, key=lambda link: link.heard).close()
+        return bool(resting)
+
     def follow(self, endpoints: dict[str, Endpoint], gone: set[str], whole: bool) -> None:
         """Follow the list's addresses."""
         if whole:
--- a/brackenlane/net/dial.py
+++ b/brackenlane/net/dial.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import logging
 import socket
 import time
 from collections.abc import Callable
@@ -14,6 +15,9 @@
 from brackenlane.net.board import WRITE, Board
 
 
+log = logging.getLogger(__name__)
+
+
 def family_of(endpoint: Endpoint) -> int:
     """The address family of an address and port."""
     return socket.AF_INET6 if ":" in endpoint[0] else socket.AF_INET
@@ -37,15 +41,23 @@
                  then: Callable[[Dial, socket.socket | None], None], keep: bool = True) -> None:
         self.endpoint, self._timers, self._timeout, self._then = endpoint, timers, timeout, then
         self.keep = keep  # whether more is wanted of it than to have come up
-        self._board, self._sock = board, socket.socket(family_of(endpoint))
+        self.starved = False  # we had no descriptor: it tells nothing of the other end
+        self._board = board
         self._timer: Timer | None = None
-        self._sock.setblocking(False)
-        self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._sock: socket.socket
 
     def start(self) -> None:
         """Try, for so long."""
-        fault = self._sock.connect_ex(self.endpoint)
-        if fault not in (0, errno.EINPROGRESS):
+        try:
+            self._sock = socket.socket(family_of(self.endpoint))
+        except OSError as fault:  # guards whoever waits for its end: it comes in any case
+            log.warning("no connection can be opened: %s", fault.strerror)
+            self.starved = True
+            return self._then(self, None)
+        self._sock.setblocking(False)
+        self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        failed = self._sock.connect_ex(self.endpoint)
+        if failed not in (0, errno.EINPROGRESS):
             return self._end(None)
         self._timer = self._timers.at(time.time() + self._timeout, self._end, None)
         self._board.add(self._sock.fileno(), self._ready, WRITE, urgent=True)
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -146,10 +146,12 @@
 
 
 @contextlib.asynccontextmanager
-async def program(port: int, *words: str, module: str = "brackenlane", **env: str) -> AsyncIterator[Program]:
-    """Start it, wait until it serves, end it."""
+async def program(port: int, *words: str, module: str = "brackenlane", files: int = 0,
+                  **env: str) -> AsyncIterator[Program]:
+    """Start it, wait until it serves, end it; files: the descriptors that it may have at the most."""
+    bound = ["prlimit", f"--nofile={files}"] if files else []
     process = await trio.lowlevel.open_process(
-        [sys.executable, "-m", module, *words], cwd=ROOT, env={**os.environ, **env},
+        [*bound, sys.executable, "-m", module, *words], cwd=ROOT, env={**os.environ, **env},
         stderr=subprocess.PIPE)
     said = bytearray()
     running = Program(process, port, said)
@@ -181,7 +183,7 @@
                    purged: list[dict[str, Any]] | None = None, sockets: int = 1024,
                    probe: bool = False, flow: float = 0.0, ops: int = 0,
                    port: int = 0, settings: dict[str, Any] | None = None,
-                   **more: str) -> AsyncIterator[Program]:
+                   files: int = 0, **more: str) -> AsyncIterator[Program]:
     """The program on the platform, with a list in its configuration; settings: what differs."""
     port = port or free_port()
     known = [{"seq": 1, "fleet": {"rev": 1, "all": True, "targets": [target(box) for box in boxes]}}]
@@ -197,7 +199,7 @@
         config["ops"] = f"127.0.0.1:{ops}"
     path = tmp_path / f"config{ops or ''}.json"
     path.write_bytes(orjson.dumps(config))
-    async with program(port, GW_CONFIG=str(path), **more) as running:
+    async with program(port, files=files, GW_CONFIG=str(path), **more) as running:
         yield running
 
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -17,7 +17,9 @@
 import pytest
 import trio
 
-from tests.stand_ins import SETTINGS, Asked, Box, Program, Reply, data, platform, with_trio
+from tests.stand_ins import (
+    SETTINGS, Asked, Box, Log, Program, Reply, data, free_port, platform, record, with_trio,
+)
 
 EDGE, OTHER, ORIGIN = "s-00000001", "s-00000002", "s-00000009"
 MODELS = {ORIGIN: "origin"}
@@ -275,3 +277,25 @@
                     heard = box.recv(65536)
                 assert not heard and len(edge.asked) == 1
         nursery.cancel_scope.cancel()
+
+
+@with_trio
+async def test_log_is_reached_though_idle_clients_fill_the_descriptors(tmp_path: Path) -> None:
+    """The change log is away while clients rest on all they can get; back, its list is followed at once."""
+    async with trio.open_nursery() as nursery:
+        edge, other, origin = await fleet(nursery, EDGE, OTHER, ORIGIN)
+        log = Log()
+        log.port = free_port()
+        async with platform(tmp_path, [edge, other, origin], log, files=64) as doorman:
+            resting = [await trio.open_tcp_stream("127.0.0.1", doorman.port) for _ in range(80)]
+            doorman.said.clear()
+            await doorman.says(b"change log")  # it was tried while they rest
+            await log.open(nursery)
+            await log.tell(2, 2, record(edge, 1) + record(other, 0))
+            await log.cut()  # what was told has been taken in
+            assert log.since[-1] == 2
+            assert [(await doorman.ask(obj=f"{n:016x}"))[0] for n in range(8)] == [200] * 8
+            assert not edge.asked and other.asked
+            for stream in resting:
+                await stream.aclose()
+        nursery.cancel_scope.cancel()
