Let two of five drawn ports meet by chance: a test failed once for it

The kernel draws each look-up's port among 28,232 (ip_local_port_range 32768 to 60999), so two of five are one with 0.035%. The resolver opened five sockets. Four different ports are asked for now, which a fixed port or one of two still fails; the ids, drawn from a seed, must differ as before.

--- a/tests/test_resolver.py
+++ b/tests/test_resolver.py
@@ -61,8 +61,9 @@
         for number in range(3):
             await another.addresses(f"box-{number}.branch.test")
         assert len(server.asked) == 5 and all(asked.edns for asked in server.asked)
-        for values in ([a.id for a in server.asked], [a.port for a in server.asked]):
-            assert len(set(values)) == 5
+        assert len({asked.id for asked in server.asked}) == 5
+        # The kernel draws ports among 28,000: two of five are the same once in 3,000 runs, three never.
+        assert len({asked.port for asked in server.asked}) >= 4
         assert any(a.name != a.name.lower() for a in server.asked)
         nursery.cancel_scope.cancel()
 
