SIGHUP: a usable configuration replaces the old one wholly, an unusable one changes nothing

Seen: SIGHUP with other settings logged "taken in at the next start only: settings", moved the change log's address and went on with the old classes, limits and learned figures: half of the new file held. A file whose `known` can't be read was taken the same way (__main__.py, _reload: only the address was ever used).

Now everything that can fail is read first (settings, limits, known, a new Router with list and purges); then core, depots and door adopt it in one step. Requests in hand end by the class and the Router under which they came (Ask.cls, Ask.router); the earlier Router gets no cold box any more, so both together stay within one budget. What was learned goes: widths, blame, windows, sizes, waits, copies of our own, the door's pace. Ids of submits that may have run stay. Where zones or kinds have other names the list is read again by them. Another listen or ops address is a configuration that this process can't use, and is said so. The door's limits, not those of the start, tell how long a process takes to leave.

Also a start with a `known.seq` that is no number is now one line and exit 2.

--- a/brackenlane/__main__.py
+++ b/brackenlane/__main__.py
@@ -29,6 +29,9 @@
 
 log = logging.getLogger(__name__)
 
+APPLIED = ("settings", "sockets", "memory_mb", "flow", "link")  # one of these changed: nothing learned stays
+
+
 async def serve(config: Config, limits: Limits) -> None:
     """Run the platform's front until SIGTERM and the last answer after it."""
     board = Board(limits.batch, alone=True)
@@ -50,9 +53,9 @@
             nursery.start_soon(core.run)
             nursery.start_soon(board.run)
             changes.start(read_known(config.known, config.site, time.time()),
-                          int(config.known.get("seq", 0)))
-            nursery.start_soon(_reload, hangups, config, changes)
-            await serve_until_told(door, config.listen, config.name, limits,
+                          config.last)
+            nursery.start_soon(_reload, hangups, config, core, depots, door, changes)
+            await serve_until_told(door, config.listen, config.name,
                                    (lambda: operators.beside) if config.ops else None, operators.serving)
             operators.close()
             nursery.cancel_scope.cancel()
@@ -80,19 +83,39 @@
     return Copies(config.settings, room, config.flow, config.link, limits.age_slack)
 
 
-async def _reload(hangups: Signals, config: Config, changes: ChangeLog) -> None:
-    """On SIGHUP read the file again and move to the change log's address; a bad file changes nothing."""
+def _limits(config: Config) -> Limits:
+    """The limits that follow from a configuration, and from what the system allows this process."""
+    sockets = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+    return Limits().within(sockets).suited(config.settings).before_killed(config.settings)
+
+
+async def _reload(hangups: Signals, config: Config, core: Core, depots: Depots, door: Door,
+                  changes: ChangeLog) -> None:
+    """On SIGHUP read the file again. One that can't be used changes nothing; another holds whole at once."""
     while True:
         await hangups.next()
         try:
             new = load(os.environ.get("GW_CONFIG"), os.environ.get("GW_OPS", ""))
-        except ConfigError as fault:
+            if told := [name for name in ("listen", "ops") if getattr(new, name) != getattr(config, name)]:
+                raise ConfigError(f"{', '.join(told)}: another address needs a new process")
+            known = list(read_known(new.known, new.site, time.time()))  # all faults come before any change
+            if any(getattr(new, name) != getattr(config, name) for name in APPLIED):
+                limits = _limits(new)
+                core.adopt(new.settings, new.seed, limits, new.flow, _own_copies(new, limits))
+                depots.adopt(limits, new.settings)
+                door.adopt(limits)
+                log.info("SIGHUP: other settings hold")
+        except (ConfigError, ListError) as fault:
             log.warning("SIGHUP: the old configuration stays in force: %s", " ".join(str(fault).split()))
             continue
-        fixed = ("name", "listen", "ops", "settings", "sockets")
-        if told := [name for name in fixed if getattr(new, name) != getattr(config, name)]:
-            log.warning("SIGHUP: taken in at the next start only: %s", ", ".join(told))
-        changes.move(new.changelog)
+        except Exception:  # guards the requests in hand against what no check foresaw
+            log.exception("SIGHUP: the old configuration stays in force")
+            continue
+        if new.site != config.site:
+            changes.begin_anew(new.changelog, new.site, known, new.last)
+        else:
+            changes.move(new.changelog)
+        config = new
         host, port = new.changelog or ("nowhere", 0)
         log.info("SIGHUP: the change log is at %s, port %d", host, port)
 
@@ -107,9 +130,7 @@
         match words:
             case []:
                 config = load(os.environ.get("GW_CONFIG"), os.environ.get("GW_OPS", ""))
-                sockets = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
-                trio.run(serve, config, Limits().within(sockets).suited(config.settings)
-                         .before_killed(config.settings))
+                trio.run(serve, config, _limits(config))
             case _:
                 from brackenlane.cli.main import run  # the platform's doorman needs none of it
 
--- a/brackenlane/admission/controller.py
+++ b/brackenlane/admission/controller.py
@@ -51,7 +51,8 @@
         known = list(classes)
         least = min(c.aim for c in known)
         self.target, self.interval = TARGET * least, INTERVAL * least
-        best = max(c.worth for c in known if c.effect is not Effect.UNSAFE or len(known) == 1)
+        best = max((c.worth for c in known if c.effect is not Effect.UNSAFE),
+                   default=max(c.worth for c in known))
         worth = sum(c.worth for c in known) / len(known) or 1.0
         self._lanes: dict[str, Lane[T]] = {}
         for c in known:
--- a/brackenlane/appliance.py
+++ b/brackenlane/appliance.py
@@ -180,7 +180,7 @@
         door.ready = lambda: phases.heard or config.coldstart.ready == "listed"
         desk = console.Desk(health, roster, shared, limits, door.figures, config.name, phases)
         nursery.start_soon(trio.serve_listeners, desk.serve, [console.open_listener(Path(config.console))])
-        await serve_until_told(door, config.http, config.name, limits)
+        await serve_until_told(door, config.http, config.name)
         Path(config.console).unlink(missing_ok=True)
         if keeper:
             await keeper.keep(left=True)
--- a/brackenlane/core/copies.py
+++ b/brackenlane/core/copies.py
@@ -41,6 +41,11 @@
         while self._bytes > self._room:
             self._drop(next(iter(self._kept)))
 
+    @property
+    def part(self) -> float:
+        """Which part of all room may be used."""
+        return self._room / self.most if self.most else 0.0
+
     def allow(self, room: float) -> None:
         """Keep no more bytes than so many from now on."""
         self._room = room
--- a/brackenlane/core/core.py
+++ b/brackenlane/core/core.py
@@ -10,6 +10,7 @@
 
 import itertools
 import logging
+import math
 import time
 from collections import deque
 from collections.abc import Callable
@@ -25,8 +26,8 @@
 from frostsail import Router
 from frostsail.cold import Tokens
 from frostsail.interface import (
-    Action, Arrival, Cancel, Effect, Event, Fail, Fetch, Membership, Note, Outcome, Purged, Refuse,
-    SetTimer, Settings, Verdict, Wake, Withdrawn,
+    Action, Arrival, Cancel, Effect, Event, Fail, Fetch, ListKind, Membership, Note, Outcome, Purged, Refuse,
+    RequestClass, SetTimer, Settings, Verdict, Wake, Withdrawn,
 )
 
 log = logging.getLogger(__name__)
@@ -79,12 +80,23 @@
     connect_only: bool = False  # the box is wanted, not the object: reach it and no more
     then: Callable[[Answer], None] | None = None  # called once, with the final answer
     stays: Callable[[], bool] | None = None  # whether its client is still there, looked at when called
-    repeatable: bool = True  # whether it may run twice
+    cls: RequestClass | None = None  # as it was when the request came, whatever is told later
+    router: Router | None = None  # that decides it, to its end
     guard: Timer | None = None
     answer: Answer | None = None
     over: bool = False  # nothing more is owed; attempts may still be out
     attempts: list[Attempt] = field(default_factory=list)
 
+    @property
+    def repeatable(self) -> bool:
+        """Whether it may run twice."""
+        return self.cls is not None and self.cls.effect is Effect.SAFE
+
+    @property
+    def once(self) -> bool:
+        """Whether it must never run twice."""
+        return self.cls is not None and self.cls.effect is Effect.UNSAFE
+
     @property
     def may_have_run(self) -> bool:
         """Whether an attempt may have run at a box: nothing proves the contrary."""
@@ -118,7 +130,7 @@
         return left if left > 0 and (ask.stays is None or ask.stays()) else 0.0
 
 
-Message = Ask | Event | tuple[Attempt, Reply]
+Message = Ask | Event | tuple[Attempt, Reply] | tuple[Router, Wake]
 Place = Callable[[Attempt], bool]
 
 
@@ -133,8 +145,9 @@
         self._copies = copies
         self.settings, self.limits, self.clock = settings, limits, clock
         self.fleet = Fleet(settings)
-        self.effects = {c.name: c.effect for c in settings.classes}
+        self._classes = {c.name: c for c in settings.classes}
         self._router = Router(settings, seed)
+        self._earlier: list[Router] = []  # of settings that are in force no more, with requests in hand
         self._place = place
         self._mail: deque[Message] = deque()
         self._working = False  # a message is being worked off
@@ -163,6 +176,27 @@
         for server in self._router.servers.values():
             server.tokens = Tokens(now)
 
+    def adopt(self, settings: Settings, seed: int, limits: Limits, flow: float,
+              copies: Copies | None) -> None:
+        """Decide by other settings from now on, with nothing learned under the last; what is in hand ends by
+        those under which it came."""
+        now = self.clock()
+        router = Router(settings, seed)
+        router.handle(Membership(ListKind.REMEMBERED, tuple(self.fleet.members.values())), now)
+        for key, at in self.fleet.purges.items():
+            obj, group = (key, -1) if isinstance(key, str) else ("", key)
+            router.handle(Purged(obj, group, max(0.0, now - at)), now)
+        # All that could fail is done. What the last one was still to send cold boxes is the new one's.
+        for server in self._router.servers.values():
+            server.tokens = Tokens(math.inf)
+        self._earlier, self._router = [*self._earlier, self._router], router
+        self.settings, self.limits, self._flow = settings, limits, flow
+        self._classes = {c.name: c for c in settings.classes}
+        self.fleet.adopt(settings)
+        if copies and self._copies:
+            copies.allow(copies.most * self._copies.part)
+        self._copies = copies
+
     def keep_copies(self, part: float) -> None:
         """Keep copies of our own in this part of their room from now on."""
         if self._copies:
@@ -172,7 +206,7 @@
         """Answer all that is in hand now: refused where that does no harm, else failed."""
         for name in [name for name, ask in self._asks.items() if not ask.over]:
             ask = self._asks[name]
-            safe = self.effects.get(ask.arrival.cls) is Effect.SAFE or not ask.may_have_run
+            safe = ask.repeatable or not ask.may_have_run
             self._end(name, Answer(Ending.REFUSED, hold_off=self.limits.retry_after) if safe
                       else Answer(Ending.FAILED))
             self.post(Withdrawn(name))
@@ -232,27 +266,32 @@
 
     def _take(self, message: Message, now: float) -> None:
         if isinstance(message, tuple):
-            self._outcome(*message, now)
+            if isinstance(message[0], Attempt):
+                self._outcome(message[0], message[1], now)
+            else:
+                self._handle(message[1], now, message[0])
         elif isinstance(message, Ask):
             if answer := self._own(message, now):
                 self._settle(message, answer)
                 return
             name = message.arrival.request
             self._asks[name] = message
-            message.repeatable = self.effects.get(message.arrival.cls) is Effect.SAFE
+            message.cls = message.cls or self._classes.get(message.arrival.cls)
+            message.router = self._router
             # Guards against a request that the module lost or failed on.
             message.guard = self.timers.at(message.deadline + self.limits.core_slack, self._lost, name)
-            self._handle(message.arrival, now)
+            self._handle(message.arrival, now, self._router)
         elif isinstance(message, Withdrawn):
-            if self._open(message.request):
+            if ask := self._open(message.request):
                 self._end(message.request, None)
-                self._handle(message, now)
+                self._handle(message, now, ask.router or self._router)
         else:
             if isinstance(message, (Membership, Purged)):
                 self.fleet.hear(message, now)
             if isinstance(message, Purged) and self._copies:
                 self._copies.purge(message, now)
-            self._handle(message, now)
+            for router in (self._router, *self._earlier):
+                self._handle(message, now, router)
 
     def _own(self, ask: Ask, now: float) -> Answer | None:
         """The answer by a copy of our own, which spares the boxes and the link in."""
@@ -271,28 +310,28 @@
             self._end(name, Answer(Ending.FAILED, late=True))
             self.post(Withdrawn(name))
 
-    def _handle(self, event: Event, now: float) -> None:
+    def _handle(self, event: Event, now: float, router: Router) -> None:
         try:
-            actions = self._router.handle(event, now)
+            actions = router.handle(event, now)
         except Exception:  # one bad decision must not end all the other requests in hand
             log.exception("the module failed on %r", event)
             self._end(getattr(event, "request", ""), Answer(Ending.FAILED))
             return
         for action in actions:
-            self._act(action, now)
+            self._act(action, now, router)
 
-    def _act(self, action: Action, now: float) -> None:
+    def _act(self, action: Action, now: float, router: Router) -> None:
         match action:
             case Fetch():
                 self._fetch(action, now)
             case Cancel():
                 self._cancel(action)
             case SetTimer():
-                self.timers.at(action.at, self.post, Wake(action.token))
+                self.timers.at(action.at, self.post, (router, Wake(action.token)))
             case Refuse():
                 ask = self._open(action.request)
                 # Guards against telling a client to come back with what may already have run.
-                if ask and self.effects.get(ask.arrival.cls) is Effect.UNSAFE and ask.may_have_run:
+                if ask and ask.once and ask.may_have_run:
                     self._end(action.request, Answer(Ending.FAILED))
                 else:
                     self._end(action.request, Answer(
@@ -309,7 +348,7 @@
             return
         attempt = Attempt(ask, len(ask.attempts), fetch, now)
         # Guards against running a write twice, should the module ever ask for it.
-        unsafe = self.effects.get(ask.arrival.cls) is Effect.UNSAFE and ask.may_have_run
+        unsafe = ask.once and ask.may_have_run
         ask.attempts.append(attempt)
         if unsafe or not self._place(attempt):
             self.post((attempt, Reply(Verdict.NEVER_SENT)))  # an event of its own, after this decision
@@ -339,7 +378,8 @@
             # Given out since it was asked for, and when: the wire has no word for either.
             note, first = Note.FILLED_BY_ORIGIN, max(reply.issued - attempt.started, 0.001)
         self._handle(Outcome(name, attempt.number, attempt.fetch.server, reply.verdict, reply.wait,
-                             ask.over, note, first, size_kb=self._size(reply)), now)
+                             ask.over, note, first, size_kb=self._size(reply)), now,
+                     ask.router or self._router)
         self._forget(name)
 
     def _size(self, reply: Reply) -> float:
@@ -372,3 +412,5 @@
         ask = self._asks.get(name)
         if ask and ask.over and all(a.reply for a in ask.attempts):
             del self._asks[name]
+            if self._earlier:
+                self._earlier = [r for r in self._earlier if r.held or r.attempts]
--- a/brackenlane/core/counts.py
+++ b/brackenlane/core/counts.py
@@ -29,6 +29,10 @@
     def __init__(self, classes: Iterable[str]) -> None:
         self.kinds = {name: Kind() for name in classes}
 
+    def adopt(self, classes: Iterable[str]) -> None:
+        """Count by these classes from now on; counts of those that stay go on."""
+        self.kinds = {name: self.kinds.get(name) or Kind() for name in classes}
+
     def ended(self, cls: str, status: int) -> None:
         """A request of a class (any other name is passed over) got its final answer, by its HTTP status."""
         if kind := self.kinds.get(cls):
--- a/brackenlane/core/fleet.py
+++ b/brackenlane/core/fleet.py
@@ -5,7 +5,9 @@
 import math
 from collections.abc import Callable
 
-from frostsail.interface import Arrival, Fetch, ListKind, Member, Membership, Purged, Settings, State
+from frostsail.interface import (
+    Arrival, Fetch, ListKind, Member, Membership, Purged, RequestClass, Settings, State,
+)
 
 
 class Fleet:
@@ -16,9 +18,12 @@
         self.purges: dict[str | int, float] = {}  # by object (text) or group (number): Unix time
         self.told = False  # whether a list has come
         self.news: Callable[[], None] = lambda: None  # asked before each look: takes in what others were told
+        self.adopt(settings)
+
+    def adopt(self, settings: Settings) -> None:
+        """Keep to other settings from now on; what was told stands."""
         self._keep = 2 * settings.purge_done
         self._tick = settings.tick
-        self._bounds = {c.name: c.fresh + c.grace for c in settings.classes if c.fresh}
 
     def hear(self, event: Membership | Purged, now: float) -> None:
         """Follow one event."""
@@ -63,6 +68,7 @@
         """Whether a copy is older than a purge that we were told of lately."""
         return any(issued <= self.purges.get(key, -math.inf) for key in (ask.obj, ask.group))
 
-    def too_old(self, ask: Arrival, issued: float, sent: float, slack: float) -> bool:
+    @staticmethod
+    def too_old(cls: RequestClass | None, issued: float, sent: float, slack: float) -> bool:
         """Guards against a copy older than its class may ever be served, whoever says that it will do."""
-        return sent - issued > self._bounds.get(ask.cls, math.inf) + slack
+        return sent - issued > (cls.fresh + cls.grace if cls and cls.fresh else math.inf) + slack
--- a/brackenlane/net/changelog.py
+++ b/brackenlane/net/changelog.py
@@ -49,6 +49,12 @@
             self._close()
             self._connect()
 
+    def begin_anew(self, endpoint: Endpoint | None, site: Site, known: Iterable[Change], last: int) -> None:
+        """Read the list by other names of zones and kinds: what is known first, then what came later."""
+        self._close()
+        self._endpoint, self._site, self.last = endpoint, site, 0
+        self.start(known, last)
+
     def _connect(self) -> None:
         if self._endpoint is not None:
             self._dial = Dial(self._endpoint, self._board, self._timers, self._limits.log_silence,
--- a/brackenlane/net/clients.py
+++ b/brackenlane/net/clients.py
@@ -26,7 +26,7 @@
 from brackenlane.limits import Limits
 from brackenlane.net.board import READ, WRITE, Board
 from brackenlane.net.http import CONTINUE, BadRequest, Headers, Reading, Requests, encode_answer, read_plain
-from frostsail.interface import Arrival, Effect, RequestClass
+from frostsail.interface import Arrival, RequestClass
 
 log = logging.getLogger(__name__)
 
@@ -66,7 +66,7 @@
     have = TAG.fullmatch(reading.headers.get("if-none-match", ""))
     arrival = Arrival(name, max(left, 0.001), cls.name, found[2], int(found[3]), shard,
                       is_write=cls.uncached, is_retry=again == "1")
-    return Ask(arrival, now + max(left, 0.001), txn, have[1] if have else "", reading.body, key)
+    return Ask(arrival, now + max(left, 0.001), txn, have[1] if have else "", reading.body, key, cls=cls)
 
 
 def _number(reading: Reading, name: str, low: int, high: int) -> int:
@@ -114,7 +114,7 @@
 
     def __init__(self, core: Core, limits: Limits, board: Board, claims: Claims | None = None,
                  nursery: trio.Nursery | None = None, counts: Counts | None = None) -> None:
-        self._core, self._limits, self.board = core, limits, board
+        self._core, self.limits, self.board = core, limits, board
         self._claims, self._nursery = claims, nursery
         self.ready: Callable[[], bool] = lambda: True  # asked by health besides whether a list has come
         self._classes = {c.name: c for c in core.settings.classes}
@@ -123,12 +123,12 @@
         self._submits: OrderedDict[str, None] = OrderedDict()  # of writes that may have run, oldest first
         # Connections by what they wait for, the longest so first, and until when they may
         self._waiting: list[dict[Client, float]] = [{} for _ in Waits]
-        self._allowed = [math.inf, limits.first_request, limits.client_idle, limits.request_time,
-                         limits.take_answer, limits.linger]  # seconds, by what they wait for
+        self._allowed = self._times(limits)
         self._count = 0
         self._listeners: list[socket.socket] = []
         self.closing = False  # answers end their connections, and what is idle is closed
         self.parting = False  # answers end their connections: their clients shall come back to a successor
+        self._share = 1.0  # of the places for connections that are ours
         self._places = limits.clients  # for connections
         # Whether a submit may run here, and that one never ran, where other processes could have it too
         self.claim: Callable[[str], Claim] = lambda _: Claim.OURS
@@ -141,6 +141,22 @@
         board.after.append(self._serve)
         core.timers.at(time.time() + limits.look, self._watch, time.time() + limits.look)
 
+    @staticmethod
+    def _times(limits: Limits) -> list[float]:
+        """Seconds that connections may wait, by what for."""
+        return [math.inf, limits.first_request, limits.client_idle, limits.request_time,
+                limits.take_answer, limits.linger]
+
+    def adopt(self, limits: Limits) -> None:
+        """Keep to other limits, and to the classes that the core knows by now; who waits goes on waiting."""
+        self.limits, self._allowed = limits, self._times(limits)
+        self._classes = {c.name: c for c in self._core.settings.classes}
+        self.counts.adopt(self._classes)
+        earlier, self.admission = self.admission, Admission(self._core.settings.classes)
+        while taken := earlier.take(time.time()):
+            taken[0].rejoin(taken[1])
+        self.stand(self._share, self.parting)
+
     # Connections
 
     def open(self, listeners: Iterable[socket.socket]) -> None:
@@ -158,7 +174,7 @@
         self._listeners.clear()
 
     def _accept(self, listener: socket.socket, _: int) -> None:
-        for _ in range(self._limits.accepts):
+        for _ in range(self.limits.accepts):
             try:
                 sock, _ = listener.accept()
             except BlockingIOError:
@@ -167,7 +183,7 @@
                 if fault.errno in (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS):
                     # Guards against a loop that spins on a connection for which there is no descriptor.
                     self.board.want(listener.fileno(), 0)
-                    self._core.timers.at(time.time() + self._limits.accept_pause, self._resume, listener)
+                    self._core.timers.at(time.time() + self.limits.accept_pause, self._resume, listener)
                     return
                 continue  # it has gone again
             self._admit(sock)
@@ -198,13 +214,13 @@
         if full:
             if self._make_room():
                 full = False
-            elif self._count >= self._places + self._limits.refused:
+            elif self._count >= self._places + self.limits.refused:
                 self.figures.refuse(Reason.FULL)
                 return sock.close()
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._count += 1
-        client = Client(self, sock, self._limits)
+        client = Client(self, sock)
         self.board.add(sock.fileno(), client.ready)
         client.wait(Waits.FIRST)
         if full:  # told so: a connection closed unread tells its client nothing
@@ -218,7 +234,7 @@
         meanwhile stays: it may not have been looked at since it was accepted.
         """
         idle = self._spare(Waits.BYE, Waits.FIRST, Waits.NEXT)
-        for there in list(itertools.islice(idle, self._limits.accepts)):
+        for there in list(itertools.islice(idle, self.limits.accepts)):
             there.retire()
             if not there.open:
                 return True
@@ -233,7 +249,8 @@
 
     def stand(self, share: float, parting: bool) -> None:
         """Hold this share of the places for connections; parting: send their clients to a successor."""
-        self._places, self.parting = max(1, int(self._limits.clients * share)), parting
+        self._share, self.parting = share, parting
+        self._places = max(1, int(self.limits.clients * share))
         idle = self._spare(Waits.BYE, Waits.FIRST, Waits.NEXT)
         for there in list(itertools.islice(idle, max(0, self._count - self._places))):
             there.retire()
@@ -279,7 +296,7 @@
     def _watch(self, due: float) -> None:
         """Close what has waited too long."""
         now = time.time()
-        self._core.timers.at(now + self._limits.look, self._watch, now + self._limits.look)
+        self._core.timers.at(now + self.limits.look, self._watch, now + self.limits.look)
         told = self.figures.tick(now, max(0.0, now - due), time.process_time())
         if told and told.shedding:
             log.warning("short of CPU: %s", told.line())
@@ -302,9 +319,9 @@
         self.refusal = self._refusal(now)
         for client in stood:
             self._guard(client, client.refuse, now)
-        end, count = now + self._limits.turn, 0
+        end, count = now + self.limits.turn, 0
         # At least a few: on a core that others use too, time passes in which we do not run.
-        while (now < end or count < self._limits.turn_least) and (taken := self.admission.take(now)):
+        while (now < end or count < self.limits.turn_least) and (taken := self.admission.take(now)):
             client, since = taken
             count += 1
             self._guard(client, client.serve, since)
@@ -327,7 +344,7 @@
 
     def _refusal(self, now: float) -> bytes:
         """A whole refusal, worded once for each time to stay away."""
-        wait = max(1, min(math.ceil(self.admission.hold_off(now)), int(self._limits.longest_wait)))
+        wait = max(1, min(math.ceil(self.admission.hold_off(now)), int(self.limits.longest_wait)))
         if wait not in self._refusals:
             status, headers, body = word_answer(Answer(Ending.REFUSED, hold_off=wait))
             self._refusals[wait] = encode_answer(status, headers, body, False) + body
@@ -343,22 +360,22 @@
             ready = self._core.fleet.told and not self.closing and self.ready()
             return client.answer((200, {}, b"healthy\n") if ready else (
                 503, {"Retry-After": "1"}, b"not ready\n"))
-        ask = read_ask(reading, self._classes, self._limits, self._core.new_id(), since)
+        ask = read_ask(reading, self._classes, self.limits, self._core.new_id(), since)
         if (left := ask.deadline - time.time()) <= 0:
             self.figures.refuse(Reason.LATE)
-            return client.answer(word_answer(Answer(Ending.REFUSED, hold_off=self._limits.retry_after)))
+            return client.answer(word_answer(Answer(Ending.REFUSED, hold_off=self.limits.retry_after)))
         if left < ask.arrival.time_left - 0.001:
             ask.arrival = replace(ask.arrival, time_left=left)  # what it stood at our door is gone
         claim = Claim.TAKEN if ask.wire_id in self._txns or ask.wire_id in self._submits else (
-            self.claim(ask.wire_id) if self._unsafe(ask) else Claim.OURS)
+            self.claim(ask.wire_id) if ask.once else Claim.OURS)
         if claim is Claim.UNKNOWN:
-            return client.answer(word_answer(Answer(Ending.REFUSED, hold_off=self._limits.retry_after)))
+            return client.answer(word_answer(Answer(Ending.REFUSED, hold_off=self.limits.retry_after)))
         if claim is Claim.TAKEN:
             raise BadRequest(HTTPStatus.CONFLICT, "this X-Txn has been taken already")
         self._txns.add(ask.wire_id)
         client.ask, ask.stays = ask, client.stays
         ask.then = functools.partial(self._answered, client, ask)
-        if self._claims and self._nursery and self._unsafe(ask):
+        if self._claims and self._nursery and ask.once:
             self._nursery.start_soon(self._claim, client, ask, self._claims)
         else:
             self._core.submit(ask)
@@ -375,16 +392,13 @@
 
     def _over(self, ask: Ask, refused: bool) -> None:
         self._txns.discard(ask.wire_id)
-        if self._unsafe(ask) and refused:
+        if ask.once and refused:
             self.release(ask.wire_id)
-        elif self._unsafe(ask):  # guards against a submit that a client or proxy sends twice
+        elif ask.once:  # guards against a submit that a client or proxy sends twice
             self._submits[ask.wire_id] = None
-            if len(self._submits) > self._limits.submits:
+            if len(self._submits) > self.limits.submits:
                 self._submits.popitem(last=False)
 
-    def _unsafe(self, ask: Ask) -> bool:
-        return self._classes[ask.arrival.cls].effect is Effect.UNSAFE
-
     async def _claim(self, client: Client, ask: Ask, claims: Claims) -> None:
         """Run a submit that other doormans could be given too: claimed before it runs."""
         claim = await claims.claim(ask.wire_id)
@@ -396,7 +410,7 @@
             client.ask = None
             return client.answer((HTTPStatus.CONFLICT.value, {}, b"this submit has been taken before\n"))
         if claim is Claim.UNKNOWN or left <= 0:
-            return self._answered(client, ask, Answer(Ending.REFUSED, hold_off=self._limits.retry_after))
+            return self._answered(client, ask, Answer(Ending.REFUSED, hold_off=self.limits.retry_after))
         ask.arrival = replace(ask.arrival, time_left=left)
         ask.then = functools.partial(self._claimed, client, ask, claims)
         self._core.submit(ask)
@@ -410,9 +424,9 @@
 class Client:
     """One client connection: one request at a time."""
 
-    def __init__(self, door: Door, sock: socket.socket, limits: Limits) -> None:
-        self._door, self._sock, self._limits = door, sock, limits
-        self._requests = Requests(limits)
+    def __init__(self, door: Door, sock: socket.socket) -> None:
+        self._door, self._sock = door, sock
+        self._requests = Requests(door.limits)
         self._waits = Waits.FIRST
         self._raw = b""  # what waits at the door, unread but for its target:
         self._plain = ""
@@ -514,12 +528,17 @@
         self._go_on()
 
     def _queue(self, target: str, again: bool) -> None:
-        self._room = self._limits.head
+        self._room = self._door.limits.head
         self.wait(Waits.NOT)
         self._cls = lane_of(target)
         self._lane = self._cls, again
         self._door.admission.offer(self, *self._lane, self._door.board.polled)
 
+    def rejoin(self, since: float) -> None:
+        """Wait in the door's new queue, since when it has waited."""
+        assert self._lane is not None
+        self._door.admission.offer(self, *self._lane, since)
+
     def serve(self, since: float) -> None:
         """It is the turn of the request that waits, which came at a Unix time."""
         if (reading := self._read()) is None:
@@ -549,10 +568,10 @@
     def shut_out(self) -> None:
         """There is no room for this connection: refuse what it will ask, and end it."""
         self._close = self._unasked = True
-        self.answer(word_answer(Answer(Ending.REFUSED, hold_off=self._limits.retry_after)))
+        self.answer(word_answer(Answer(Ending.REFUSED, hold_off=self._door.limits.retry_after)))
 
     def _turn_away(self) -> None:
-        self._room, self._close = self._limits.head, False
+        self._room, self._close = self._door.limits.head, False
         self._door.counts.ended(self._cls, HTTPStatus.SERVICE_UNAVAILABLE)
         self._send(self._door.refusal)
         if self.open:
@@ -600,7 +619,7 @@
         if not self._close:
             return self._go_on()
         # Guards an answer from the reset that follows unread bytes.
-        self._room = self._limits.linger_room
+        self._room = self._door.limits.linger_room
         self.wait(Waits.BYE)
         try:
             self._sock.shutdown(socket.SHUT_WR)
--- a/brackenlane/net/depots.py
+++ b/brackenlane/net/depots.py
@@ -69,12 +69,12 @@
     """
 
     def __init__(self, most: int) -> None:
-        self._most, self._taken = most, 0
+        self.most, self._taken = most, 0
         self.make_room: Callable[[], bool] = lambda: False  # ends a connection that rests; whether one did
 
     def take(self, needed: bool) -> bool:
         """Whether there is one; needed: also in the place of a connection that rests."""
-        if self._taken >= self._most and not (needed and self.make_room()):
+        if self._taken >= self.most and not (needed and self.make_room()):
             return False
         self._taken += 1
         return True
@@ -117,6 +117,10 @@
         return (self.open and len(self._waiting) < self._limits.link_waiting and not stuck
                 and wire_id not in self._waiting and wire_id not in self._past)
 
+    def adopt(self, limits: Limits, may_probe: bool) -> None:
+        """Keep to other limits from now on."""
+        self._limits, self._may_probe = limits, may_probe
+
     @property
     def load(self) -> int:
         """Requests open here."""
@@ -315,7 +319,7 @@
         if verdict is Verdict.OK:
             # Guards against a copy that is too old, or an 'unchanged' of another copy than the client holds.
             old = answer.issued is not None and self._fleet.too_old(
-                ask.arrival, answer.issued, slot.sent, self._limits.age_slack)
+                ask.cls, answer.issued, slot.sent, self._limits.age_slack)
             # Nor may bytes pass that only look like an answer: what is kept bears its tag and its time.
             bare = not ask.arrival.is_write and (not tag or answer.issued is None)
             if old or bare or (unchanged and tag != ask.tag):
@@ -355,6 +359,13 @@
         self._serve(slot)
         return True
 
+    def adopt(self, limits: Limits, settings: Settings) -> None:
+        """Keep to other limits and settings from now on."""
+        self._limits = limits
+        self.connect_timeout, self._may_probe = settings.connect_timeout, settings.may_probe
+        for link in self.links:
+            link.adopt(limits, settings.may_probe)
+
     def move(self, endpoint: Endpoint) -> None:
         """Follow the box to another address; what is open on the old one ends there."""
         if endpoint != self.endpoint:
@@ -485,6 +496,12 @@
             self._look = self._look_in(time.time(), self._limits.watch)
         return peer.post(attempt)
 
+    def adopt(self, limits: Limits, settings: Settings) -> None:
+        """Keep to other limits and settings from now on."""
+        self._limits, self._settings, self._places.most = limits, settings, limits.box_links
+        for peer in (*self._peers.values(), *self._gone):
+            peer.adopt(limits, settings)
+
     def _end_resting(self) -> bool:
         """End the connection that has rested longest; whether there was one."""
         resting = [link for peer in (*self._peers.values(), *self._gone) for link in peer.links if link.idle]
--- a/brackenlane/service.py
+++ b/brackenlane/service.py
@@ -14,7 +14,6 @@
 import trio
 
 from brackenlane.config import ConfigError, Endpoint
-from brackenlane.limits import Limits
 from brackenlane.net.board import Board
 from brackenlane.net.clients import Door
 from brackenlane.net.dial import family_of
@@ -101,7 +100,7 @@
             self._came.set()
 
 
-async def serve_until_told(door: Door, endpoint: Endpoint, name: str, limits: Limits,
+async def serve_until_told(door: Door, endpoint: Endpoint, name: str,
                            beside: Callable[[], int] | None = None,
                            serving: Callable[[], None] = lambda: None) -> None:
     """Serve clients; after SIGTERM go on for a moment, then end once all that was taken is answered.
@@ -120,6 +119,7 @@
         serving()
         log.info("%s serves on %s:%d", name, *endpoint)
         await leave.next()
+    limits = door.limits
     # New connections and requests keep coming for a moment, and all are owed an answer.
     await trio.sleep(limits.leaving)
     door.shut()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -442,6 +442,8 @@
     (orjson.dumps({"name": "n", "listen": "127.0.0.1:1", "seed": "xyz", "settings": SETTINGS}), "seed"),
     (orjson.dumps({"name": "n", "listen": f"127.0.0.1:{free_port()}", "settings": SETTINGS,
                    "known": {"seq": 1, "results": [{"fleet": {}}]}}), "known"),
+    (orjson.dumps({"name": "n", "listen": "127.0.0.1:1", "settings": SETTINGS, "known": {"seq": "x"}}),
+     "known.seq: 'x'"),
 ])
 def test_bad_config(tmp_path: Path, text: bytes, said: str) -> None:
     """A configuration that can't be used is one plain line and exit 2."""
--- /dev/null
+++ b/tests/test_reload.py
@@ -0,0 +1,133 @@
+"""SIGHUP: a usable configuration replaces the old one wholly, an unusable one changes nothing."""
+
+from __future__ import annotations
+
+import signal
+import time
+from pathlib import Path
+from typing import Any
+
+import orjson
+import pytest
+import trio
+
+from brackenlane.core.core import Ask, Attempt, Core, Reply
+from brackenlane.limits import Limits
+from frostsail.interface import (
+    Arrival, Effect, ListKind, Member, Membership, Purged, RequestClass, Settings, Verdict,
+)
+from tests.stand_ins import SETTINGS, Asked, Box, Log, Program, data, free_port, platform, with_trio
+
+EDGE, ORIGIN = "s-00000001", "s-00000009"
+OTHERS: dict[str, Any] = {  # another customer: other classes, effects, times and names of zones
+    **SETTINGS, "Dcs": ["press", "archive"], "Locality": "archive",
+    "Classes": [{"Name": "filing", "TargetS": 0.8, "GiveUpS": 2.0, "Effect": "dedup", "WindowS": 1.0},
+                {"Name": "plates", "TargetS": 0.2, "GiveUpS": 1.5, "Worth": 7.0}],
+    "FamilyInfo": {**SETTINGS["FamilyInfo"], "Uncached": [True, False], "FreshForS": [0, 2],
+                   "GraceForS": [0, 0]}}
+
+
+def replaced(path: Path, **changes: Any) -> None:
+    """Write a configuration with changes; "az" moves all boxes to the zones of other settings."""
+    raw = orjson.loads(path.read_bytes())
+    raw |= changes
+    if raw["settings"]["Dcs"] != SETTINGS["Dcs"]:
+        for box in raw["known"]["results"][0]["fleet"]["targets"]:
+            box["az"] = raw["settings"]["Locality"]
+    path.write_bytes(orjson.dumps(raw))
+
+
+async def put(doorman: Program, cls: str) -> int:
+    """A write of any class."""
+    told = {"X-Txn": "7" * 16, "X-Ttl-Ms": "1500", "X-Shard": "1"}
+    return (await doorman.send("PUT", f"/api/v2/{cls}/7f3a9c21e0b4d655/n-0", told, b"signed"))[0]
+
+
+@with_trio
+async def test_other_settings_hold_whole(tmp_path: Path) -> None:
+    """What is in hand ends as it came; then classes, effects, zones and times are the new ones alone."""
+    async with trio.open_nursery() as nursery:
+        held: list[Asked] = []
+        edge, origin = [await Box(name, model).open(nursery)
+                        for name, model in ((EDGE, "type-a"), (ORIGIN, "origin"))]
+        log, path = await Log().open(nursery), tmp_path / "config.json"
+        async with platform(tmp_path, [edge, origin], log) as doorman:
+            assert (await doorman.ask())[0] == 200 and await put(doorman, "sheet-submit") == 200
+            edge.answer = lambda asked: held.append(asked)
+            found: list[int] = []
+
+            async def ask() -> None:
+                found.append((await doorman.ask())[0])
+
+            async with trio.open_nursery() as clients:
+                clients.start_soon(ask)
+                await edge.until(lambda: bool(held))
+                replaced(path, settings=OTHERS)
+                doorman.process.send_signal(signal.SIGHUP)
+                await doorman.says(b"other settings hold")
+                edge.answer = data
+                assert (await doorman.ask())[0] == 404 and await put(doorman, "sheet-submit") == 404
+                assert (await doorman.ask("plates"))[0] == 200
+                assert edge.asked[-1].fields["queue"] == "plates"
+                assert int(edge.asked[-1].fields["budget"]) <= 2000
+                await edge.say(held[0].link, data(held[0]))
+            assert found == [200]
+            # An id whose submit may have run stays known whatever the settings.
+            assert await put(doorman, "filing") == 409
+            assert len([a for box in (edge, origin) for a in box.asked if a.id == "7" * 16]) == 1
+            assert (await doorman.send("GET", "/-/healthy", {}))[0] == 200
+        nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize(("change", "said"), [
+    ({"settings": {**OTHERS, "Classes": []}}, b"classes"),
+    ({"settings": {**OTHERS, "Locality": "nowhere"}}, b"nowhere"),
+    ({"settings": OTHERS, "known": {"seq": 1, "results": [{"seq": 1, "fleet": {}}]}}, b"known"),
+    ({"settings": OTHERS, "known": {"seq": -1}}, b"known.seq"),
+    ({"settings": OTHERS, "limits": {"sockets": "many"}}, b"sockets"),
+    ({"settings": OTHERS, "listen": "127.0.0.1:1"}, b"listen"),
+])
+@with_trio
+async def test_unusable_changes_nothing(tmp_path: Path, change: dict[str, Any], said: bytes) -> None:
+    """Not one part of an unusable file comes into force: classes, list and the log's address stay."""
+    async with trio.open_nursery() as nursery:
+        edge, origin = [await Box(name, model).open(nursery)
+                        for name, model in ((EDGE, "type-a"), (ORIGIN, "origin"))]
+        log, path = await Log().open(nursery), tmp_path / "config.json"
+        async with platform(tmp_path, [edge, origin], log) as doorman:
+            raw = orjson.loads(path.read_bytes())
+            path.write_bytes(orjson.dumps({**raw, "changelog": f"127.0.0.1:{free_port()}", **change}))
+            doorman.process.send_signal(signal.SIGHUP)
+            await doorman.says(b"the old configuration stays in force")
+            assert said in doorman.said
+            assert (await doorman.ask("plates"))[0] == 404 and (await doorman.ask())[0] == 200
+            await log.cut()  # it comes back to the old address
+        nursery.cancel_scope.cancel()
+
+
+def test_nothing_learned_or_promised_under_old_settings_is_left() -> None:
+    """Widths, blame and budgets begin anew; an old request keeps its rules and gets no cold box."""
+    old = RequestClass("a", aim=0.5, give_up=5.0, effect=Effect.UNSAFE, uncached=True)
+    new = RequestClass("a", aim=0.1, give_up=1.0)
+    now = time.time()
+    placed: list[Attempt] = []
+
+    def place(attempt: Attempt) -> bool:
+        placed.append(attempt)
+        return True
+
+    core = Core(Settings("here", ("here",), (old,), direct=True, max_attempts=4), 1, Limits(), place)
+    core.post(Membership(ListKind.FULL, (Member("box", "here"), Member("other", "here"))))
+    core.post(Purged("thing", -1, 0.5))
+    first = core._router
+    first.servers["box"].width, first.servers["box"].down = 9.0, now + 60
+    ask = Ask(Arrival("q", 4.0, "a", "thing", is_write=True), now + 4.0, "1" * 16)
+    core.submit(ask)
+    core.adopt(Settings("here", ("here",), (new,), direct=True, max_attempts=4), 1, Limits(), 0.0, None)
+    assert core._router is not first and {s.width for s in core._router.servers.values()} == {0.0}
+    assert not any(s.down for s in core._router.servers.values())
+    assert core._router.purges.keys() == {"thing"}
+    assert first.servers["box"].tokens.fill(now + 99, 5.0, 5.0) == 0.0
+    placed[0].written = True
+    core.report(placed[0], Reply(Verdict.ERROR, 0.1))  # by the class of now it could be tried again
+    assert len(placed) == 1 and ask.over and not core._earlier
