Bad input: a flood keeps its one answer, a slow log is awaited, the log file has a rate

- Bytes of more than 16 kB behind a request in hand closed the connection and took the request back: the one final answer was owed.
What is past the bound is read and let go now, and the answer ends the connection (clients.py, _heed; reading on also tells when the client leaves).
- A change log whose first word takes 4 s was asked anew every 3.5 s for ever, so a doorman that knows no list was never ready.
The silence borne doubles, to 8 s, on each connection that said nothing; any word sets it back.
- Each spoilt answer of a box was a line of the log: 200 for 200.
Ten lines of a kind pass in a second, and the next one tells how many did not (observe/throttle.py, on the root's handlers).

--- a/brackenlane/__main__.py
+++ b/brackenlane/__main__.py
@@ -26,6 +26,7 @@
 from brackenlane.ops.ledger import Ledger, LedgerError
 from brackenlane.ops.operators import Operators
 from brackenlane.service import Signals, listen_plain, serve_until_told
+from brackenlane.observe.throttle import Throttle
 
 log = logging.getLogger(__name__)
 
@@ -123,6 +124,8 @@
 def main(words: list[str]) -> int:
     """Run what the command line names; 2 for a configuration that can't be used."""
     logging.basicConfig(level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
+    for handler in logging.getLogger().handlers:
+        handler.addFilter(Throttle(Limits().log_lines, Limits().log_span))
     # Guards against a SIGHUP that ends the program: before its handler stands, or where none is.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     status = 0
--- a/brackenlane/limits.py
+++ b/brackenlane/limits.py
@@ -67,6 +67,10 @@
     pulse: float = 0.25  # for its answer to that; then the connection is given up
     mute: float = 3.0  # the same where boxes may not be probed: with a request open and no byte for so long
 
+    # Log
+    log_lines: int = 10  # of one kind in a span; more are counted
+    log_span: float = 1.0
+
     # Copies of our own
     copies: float = 1 / 8  # of the memory that we are allowed
 
@@ -81,6 +85,7 @@
     # List of boxes
     frame: int = 1_048_576  # the longest frame of the change log
     log_silence: float = 3.5  # it sends something each second; silent for longer, it is asked anew
+    log_silence_most: float = 8.0  # to which that doubles while a log that is slow to begin has said nothing
     log_dial: float = 2.0  # for a connect to it: a silence and a lost connect end before all counts as told
     log_retry: float = 0.2  # between two tries to reach it, a half sooner or later: not all doors at once
     log_retry_most: float = 0.5  # to which that doubles; what a break hid counts as told 2 s after it
--- a/brackenlane/net/changelog.py
+++ b/brackenlane/net/changelog.py
@@ -30,6 +30,7 @@
         self._dial: Dial | None = None
         self._sock: socket.socket | None = None
         self._heard = 0.0  # when the connection said something last, or came up
+        self._silence = self._patience = limits.log_silence  # borne now, and on the next connection
         self._reader = FrameReader(limits.frame)
         self._again: Timer | None = None  # the next try
         self._random, self._wait = random.Random(seed), limits.log_retry  # before it, on average
@@ -70,7 +71,10 @@
         self._wait = self._limits.log_retry
         self._sock, self._heard, self._reader = sock, time.time(), FrameReader(self._limits.frame)
         self._board.add(sock.fileno(), self._ready, urgent=True)
-        self._timers.at(self._heard + self._limits.log_silence, self._watch, sock)
+        self._silence = self._patience
+        # Guards against asking anew for ever where the first word takes longer than a usual silence.
+        self._patience = min(2 * self._patience, self._limits.log_silence_most)
+        self._timers.at(self._heard + self._silence, self._watch, sock)
         try:
             sock.send(self.last.to_bytes(8, "big"))  # a new connection takes so few at once
         except OSError as fault:
@@ -80,10 +84,11 @@
         """Guards against a log that is cut off: its connection stays open and says nothing."""
         if sock is not self._sock:
             return  # another connection by now
-        if time.time() >= self._heard + self._limits.log_silence:
+        until = self._heard + self._silence
+        if time.time() >= until:
             self._end("it says nothing")
         else:
-            self._timers.at(self._heard + self._limits.log_silence, self._watch, sock)
+            self._timers.at(until, self._watch, sock)
 
     def _ready(self, _: int) -> None:
         assert self._sock is not None
@@ -96,6 +101,7 @@
         if not data:
             return self._end("it ended the connection")
         self._heard = time.time()
+        self._silence = self._patience = self._limits.log_silence
         try:
             for number, kind, payload in self._reader.feed(data):
                 self._take(read_frame(number, kind, payload, self._site, self._heard))
--- a/brackenlane/net/clients.py
+++ b/brackenlane/net/clients.py
@@ -460,6 +460,7 @@
         self._rest = memoryview(b"")  # of an answer written in part
         self._room = 0  # bytes that may still come while they are not asked for
         self._close = False  # after this answer
+        self._flooded = False  # more came behind a request than is kept
         self.open = True
         self.ask: Ask | None = None  # in hand
 
@@ -561,13 +562,16 @@
             self._room -= len(data)
             return self.close() if self._room <= 0 else None
         if self._waits in (Waits.NOT, Waits.TAKE):
-            # Bytes of a next request are kept, up to a bound.
+            # Bytes of a next request are kept, up to a bound. Past it nothing is kept, and the answer that is
+            # owed ends the connection; read on, it tells when its client leaves.
             self._room -= len(data)
-            if self._raw:
+            if self._room <= 0:
+                self._flooded, self._plain = True, ""
+            elif self._raw:
                 self._raw, self._plain = self._raw + data, ""  # more than one request: read in full
             else:
                 self._requests.feed(data)
-            return self.close() if self._room <= 0 else None
+            return None
         if self._waits is not Waits.REST and (plain := read_plain(data)):
             target, again = plain
             if self._door.refuses(target, again) and not self._door.leaving:
@@ -660,7 +664,7 @@
         status, headers, body = worded
         self._door.counts.ended(self._cls, status)
         self._cls = ""
-        self._close |= self._door.leaving
+        self._close |= self._door.leaving or self._flooded
         self._send(encode_answer(status, headers, body, self._close), body)
         if self.open and self._rest:
             self.wait(Waits.TAKE)
--- a/frostsail/brain.py
+++ b/frostsail/brain.py
@@ -90,6 +90,8 @@
         self.origin: Server | None = None
         self.orders: dict[str, list[Server]] = {}  # hash orders until the list changes
         self.classes = {c.name: c for c in settings.classes}
+        # The time that fills may take, whatever the classes' order: the longest aim of what may be kept.
+        self.aim = max((c.aim for c in settings.classes if not c.uncached), default=settings.classes[0].aim)
         self.held: dict[str, Request] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}
         self.timers: dict[int, tuple[str, int]] = {}  # token: request and attempt, -1 for its deadline
@@ -316,7 +318,7 @@
     def _accuse(self, server: Server, weight: float, now: float) -> None:
         """Blame a server; enough of it without a success between takes it out until a trial succeeds."""
         server.blame += weight
-        if server.me.role is not Role.EDGE and now > server.cut + self.s.classes[0].aim:
+        if server.me.role is not Role.EDGE and now > server.cut + self.aim:
             server.window, server.cut = max(1.0, server.window / 2), now  # once for all that fails together
         # Blame that all share is a jam: nobody is taken out for it. But a jam delays, it fails no connect.
         like = self.edges if server.me.role is Role.EDGE else [s for ring in self.rings for s in ring]
@@ -502,7 +504,7 @@
         elif verdict in (Verdict.ERROR, Verdict.FULL) and event.wait > 2 * self.s.tick:
             # A cache's own refusal comes within a tick or two; what takes longer failed at the source. But a
             # good source is not shut for errors that caches make alone, sooner than a fill is given up.
-            alone = verdict is Verdict.ERROR and self.faults > 0.1 and event.wait < self.s.classes[0].aim
+            alone = verdict is Verdict.ERROR and self.faults > 0.1 and event.wait < self.aim
             self._accuse(edge if alone else source or edge, 0.5 if alone else 1.0, now)
 
     def _upstream(self, event: Outcome, request: Request, source: Server, now: float) -> None:
@@ -511,7 +513,7 @@
         blamed = [s.blame > 0 for s in self.rings[0]]
         sure = 1.0 if source is self.origin else sum(blamed) / max(1, len(blamed))
         aim = HEADROOM * (request.cls.aim if event.first_byte else request.aim)
-        self.upstream.learn(event, now, aim, sure, self.s.classes[0].aim, 2 * self.s.tick)
+        self.upstream.learn(event, now, aim, sure, self.aim, 2 * self.s.tick)
 
     def _late(self, attempt: Attempt, now: float) -> None:
         """Blame for an attempt overdue: who has proved to be alive since it was sent is not at fault."""
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -183,15 +183,16 @@
                    purged: list[dict[str, Any]] | None = None, sockets: int = 1024,
                    probe: bool = False, flow: float = 0.0, ops: int = 0,
                    port: int = 0, settings: dict[str, Any] | None = None,
-                   files: int = 0, **more: str) -> AsyncIterator[Program]:
+                   files: int = 0, known: bool = True, **more: str) -> AsyncIterator[Program]:
     """The program on the platform, with a list in its configuration; settings: what differs."""
     port = port or free_port()
-    known = [{"seq": 1, "fleet": {"rev": 1, "all": True, "targets": [target(box) for box in boxes]}}]
-    known += [{"seq": 2 + n, "invalidate": item} for n, item in enumerate(purged or [])]
+    events = [{"seq": 1, "fleet": {"rev": 1, "all": True, "targets": [target(box) for box in boxes]}}]
+    events += [{"seq": 2 + n, "invalidate": item} for n, item in enumerate(purged or [])]
     config = {"name": "n0", "listen": f"127.0.0.1:{port}", "seed": "8c1f",
               "settings": {**SETTINGS, "Limits": {**SETTINGS["Limits"], "MayProbe": probe},
                            **(settings or {})},
-              "known": {"seq": known[-1]["seq"], "results": known}, "limits": {"sockets": sockets},
+              "known": {"seq": events[-1]["seq"], "results": events} if known else {},
+              "limits": {"sockets": sockets},
               "flow_bytes_per_s": flow, "link_bytes_per_s": 4 * flow}
     if log:
         config["changelog"] = f"127.0.0.1:{log.port}"
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -6,6 +6,8 @@
 from __future__ import annotations
 
 import contextlib
+import logging
+import os
 import signal
 import socket
 from collections.abc import AsyncIterator, Callable, Iterator
@@ -21,6 +23,7 @@
 from brackenlane.limits import Limits
 from brackenlane.net.board import Board
 from brackenlane.net.clients import Door, Waits
+from brackenlane.observe.throttle import Throttle
 from frostsail.interface import RequestClass, Settings
 from tests.stand_ins import (
     SETTINGS, Asked, Box, Log, Program, Reply, data, free_port, platform, record, with_trio,
@@ -396,3 +399,85 @@
         peer.close()
         while client.open:
             board.turn()
+
+
+@with_trio
+async def test_flood_behind_a_request_costs_it_nothing_but_the_connection(tmp_path: Path) -> None:
+    """Two megabytes come behind a request in hand: none is kept, the one answer is given, then the end."""
+    async with trio.open_nursery() as nursery:
+        edge, = await fleet(nursery, EDGE, answer=lambda asked: None)
+        async with platform(tmp_path, [edge]) as doorman:
+            before = resident(doorman)
+            async with await trio.open_tcp_stream("127.0.0.1", doorman.port) as client:
+                await client.send_all(request("1" * 16))
+                await edge.until(lambda: bool(edge.asked))
+                await client.send_all(request("2" * 16) * 16_000)  # 2.2 MB: read, or this does not end
+                await edge.say(1, data(edge.asked[0]))
+                got = b""
+                with contextlib.suppress(trio.BrokenResourceError):
+                    while more := await client.receive_some(65536):
+                        got += more
+            assert got.startswith(b"HTTP/1.1 200") and b"Connection: close" in got
+            assert got.count(b"HTTP/1.1") == 1 and got.endswith(b"bytes")
+            edge.answer = data
+            assert (await doorman.ask())[0] == 200
+            assert [asked.id for asked in edge.asked].count("2" * 16) == 0
+            assert resident(doorman) - before < 1_000_000
+        nursery.cancel_scope.cancel()
+
+
+def resident(doorman: Program) -> int:
+    """Bytes of memory (proc(5))."""
+    pages = int(Path(f"/proc/{doorman.process.pid}/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE")
+
+
+@with_trio
+async def test_bad_answers_fill_no_log(tmp_path: Path) -> None:
+    """Each of two hundred spoilt answers is no line of its own; how many were not told is."""
+    async with trio.open_nursery() as nursery:
+        boxes = await fleet(nursery, EDGE, ORIGIN, answer=lambda asked: data(asked, issued="soon"))
+        async with platform(tmp_path, boxes) as doorman:
+            for n in range(200):
+                await doorman.ask(obj=f"{n:016x}", ttl=300)
+            told = doorman.said.count(b"answered with what can't be served")
+            assert sum(len(box.asked) for box in boxes) >= 200 and 0 < told <= 100
+        nursery.cancel_scope.cancel()
+
+
+def test_a_line_that_passes_tells_of_those_that_did_not() -> None:
+    throttle, passed = Throttle(2, 1.0, kinds=3), []
+    for n in range(50):
+        record = logging.LogRecord("a", logging.WARNING, "", 0, "%s is bad", (f"box {n}",), None)
+        record.created = n / 10  # five spans of ten lines
+        if throttle.filter(record):
+            passed.append(record.getMessage())
+    assert passed[:3] == ["box 0 is bad", "box 1 is bad", "box 10 is bad (and 8 more like it)"]
+    assert len(passed) == 10
+    for n in range(9):
+        assert throttle.filter(logging.LogRecord("a", logging.INFO, "", 0, f"kind {n}", (), None))
+    assert len(throttle._seen) <= 3
+
+
+@with_trio
+async def test_log_that_is_slow_to_begin_is_not_asked_anew_for_ever(tmp_path: Path) -> None:
+    """Its first word takes 4 s on any connection, longer than a silence: the doorman is ready in 10 s."""
+    class Slow(Log):
+        """Says nothing for a while."""
+
+        async def _serve(self, stream: trio.SocketStream) -> None:
+            self.since.append(int.from_bytes(await stream.receive_some(8), "big"))
+            await trio.sleep(4.0)
+            with contextlib.suppress(trio.BrokenResourceError):
+                await stream.send_all(bytes([0, 0, 0, 36]) + bytes(7) + b"\x01\x01" + record(boxes[0], 0))
+                await trio.sleep_forever()
+
+    async with trio.open_nursery() as nursery:
+        boxes = await fleet(nursery, EDGE)
+        log = await Slow().open(nursery)
+        async with platform(tmp_path, [], log, known=False) as doorman:
+            with trio.fail_after(10):
+                while (await doorman.send("GET", "/-/healthy", {}))[0] != 200:
+                    await trio.sleep(0.05)
+            assert (await doorman.ask())[0] == 200 and len(log.since) == 2
+        nursery.cancel_scope.cancel()
