--- a/brackenlane/lab/standins/box.py
+++ b/brackenlane/lab/standins/box.py
@@ -73,6 +73,7 @@
     alive: bool = True  # whether it answers PING
     most: int = 0  # requests that came on one connection
     links: int = 0  # connections so far
+    ended: int = 0  # of these, by the other side
     news: trio.Event = field(default_factory=trio.Event)
     _streams: list[trio.SocketStream] = field(default_factory=list)
 
@@ -86,12 +87,16 @@
         """Say something on one connection."""
         await self._streams[link - 1].send_all(text)
 
+    async def end(self, link: int) -> None:
+        """End one connection."""
+        await self._streams[link - 1].aclose()
+
     async def _serve(self, stream: trio.SocketStream) -> None:
         self._streams.append(stream)
         buffer, here = b"", 0
         self.links += 1
         link = self.links
-        with contextlib.suppress(trio.BrokenResourceError):
+        with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
             while got := await stream.receive_some(65536):
                 buffer += got
                 while b"\r\n" in buffer:
@@ -119,3 +124,5 @@
                             if not reply.endswith(b"\r\n"):
                                 return await stream.aclose()
                     self.news.set()
+        self.ended += 1
+        self.news.set()
--- a/brackenlane/net/changelog.py
+++ b/brackenlane/net/changelog.py
@@ -137,4 +137,6 @@
             gone = {m.server for m in event.members if m.state is State.GONE}
             self._depots.follow(change.endpoints, gone, event.kind is ListKind.FULL)
         self._tell(event)
+        if isinstance(event, Membership):
+            self._depots.recheck()
         self.last = change.number
--- a/brackenlane/net/depots.py
+++ b/brackenlane/net/depots.py
@@ -370,6 +370,19 @@
         """Follow the box to another address; what is open on the old one ends there."""
         if endpoint != self.endpoint:
             self.endpoint, self._old, self._links = endpoint, [*self._old, *self._links], []
+            self._dial = None  # what comes of it is let go
+            if self._mail:
+                self._start_dial(keep=not all(slot.attempt.ask.connect_only for slot in self._mail))
+
+    def recheck(self) -> None:
+        """Give back what waits for a connection and may go there no more, instead of when that comes up."""
+        kept: deque[Slot] = deque()
+        waiting, self._mail = self._mail, kept
+        for slot in waiting:
+            if self._fleet.allows(slot.attempt.fetch):
+                kept.append(slot)
+            else:
+                slot.settle(NEVER_SENT)
 
     def leave(self) -> None:
         """The box is gone: finish what is out, take nothing more."""
@@ -409,11 +422,19 @@
             if room and link.load >= self._limits.link_share:
                 self._start_dial(needed=False)
             link.send(slot)
-        elif room:
+        elif room or self._end_known(slot):
             self._want_link(slot)
         else:
             slot.settle(NEVER_SENT)
 
+    def _end_known(self, slot: Slot) -> bool:
+        """End a connection that rests, on which more may come to an id that is asked again; whether any."""
+        found = next((at for at in self._links if at.open and at.idle), None)
+        if found and self._fleet.allows(slot.attempt.fetch):
+            found.close()
+            return True
+        return False
+
     def _want_link(self, slot: Slot) -> None:
         """Wait for a new connection. For a name's answer, that the box takes one is all that is wanted."""
         if not self._fleet.allows(slot.attempt.fetch):
@@ -435,11 +456,11 @@
 
     def dialled(self, dial: Dial, sock: socket.socket | None) -> None:
         """A try to connect has ended."""
+        if dial is not self._dial:  # the box has moved meanwhile
+            self._places.give()
+            return sock.close() if sock else None
         self._dial = None
         waiting, self._mail = self._mail, deque()
-        if sock and dial.endpoint != self.endpoint:  # the box has moved meanwhile
-            sock.close()
-            sock = None
         if sock and not dial.keep:
             sock.close()
             self._places.give()
@@ -496,6 +517,11 @@
             self._look = self._look_in(time.time(), self._limits.watch)
         return peer.post(attempt)
 
+    def recheck(self) -> None:
+        """The list has changed: what waits for a box that takes nothing new is tried elsewhere at once."""
+        for peer in [*self._peers.values(), *self._gone]:
+            peer.recheck()
+
     def adopt(self, limits: Limits, settings: Settings) -> None:
         """Keep to other limits and settings from now on."""
         self._limits, self._settings, self._places.most = limits, settings, limits.box_links
--- a/tests/test_appliance.py
+++ b/tests/test_appliance.py
@@ -229,6 +229,26 @@
         nursery.cancel_scope.cancel()
 
 
+@with_trio
+async def test_left_while_its_submit_was_claimed(tmp_path: Path) -> None:
+    """The store's answer comes when the client has gone: the submit is not run."""
+    async with trio.open_nursery() as nursery:
+        redis = await Redis().open(nursery)
+        boxes = await boxes_at(nursery, "box-1")
+        async with appliance(tmp_path, boxes, redis=redis) as (doorman, _, _path):
+            assert await submit(doorman, "00000000000000b1") == 200
+            redis.late = 0.2
+            async with trio.open_nursery() as client:
+                client.start_soon(submit, doorman, "00000000000000b2")
+                while not any(key.endswith("claim:00000000000000b2") for key in redis.keys):
+                    await trio.sleep(0.005)
+                client.cancel_scope.cancel()
+            redis.late = 0.0
+            assert await submit(doorman, "00000000000000b3") == 200  # claimed behind the one that has left
+            assert [asked.id[-2:] for box in boxes for asked in box.asked] == ["b1", "b3"]
+        nursery.cancel_scope.cancel()
+
+
 @with_trio
 async def test_shared_drain(tmp_path: Path) -> None:
     """A drain at one doorman reaches the other's answers; the store keeps it for a third."""
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -8,8 +8,10 @@
 import contextlib
 import logging
 import os
+import resource
 import signal
 import socket
+import struct
 from collections.abc import AsyncIterator, Callable, Iterator
 from dataclasses import dataclass
 from hashlib import blake2b
@@ -29,8 +31,8 @@
     SETTINGS, Asked, Box, Log, Program, Reply, data, free_port, platform, record, with_trio,
 )
 
-EDGE, OTHER, ORIGIN = "s-00000001", "s-00000002", "s-00000009"
-MODELS = {ORIGIN: "origin"}
+EDGE, OTHER, PARENT, ORIGIN = "s-00000001", "s-00000002", "s-00000008", "s-00000009"
+MODELS = {ORIGIN: "origin", PARENT: "parent"}
 
 
 async def fleet(nursery: trio.Nursery, *names: str, answer: Callable[[Asked], Reply] = data) -> list[Box]:
@@ -481,3 +483,184 @@
                     await trio.sleep(0.05)
             assert (await doorman.ask())[0] == 200 and len(log.since) == 2
         nursery.cancel_scope.cancel()
+
+
+@with_trio
+async def test_left_before_its_head_was_whole(tmp_path: Path) -> None:
+    """Half a head, then the end or a reset: nothing is sent on, and the next client is served."""
+    async with trio.open_nursery() as nursery:
+        boxes = await fleet(nursery, EDGE, ORIGIN)
+        async with platform(tmp_path, boxes) as doorman:
+            for reset in (False, True):
+                with socket.create_connection(("127.0.0.1", doorman.port)) as client:
+                    client.sendall(request("1" * 16)[:-2])
+                    if reset:
+                        client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            assert (await doorman.ask(txn="3" * 16))[0] == 200
+            assert [asked.id for box in boxes for asked in box.asked] == ["3" * 16]
+        nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("reset", [False, True])
+@with_trio
+async def test_left_while_its_answer_was_written(tmp_path: Path, reset: bool) -> None:
+    """The largest answers for clients who take next to nothing and go; the others get theirs whole."""
+    body = bytes(range(256)) * 937
+    async with trio.open_nursery() as nursery:
+        boxes = await fleet(nursery, EDGE, ORIGIN, answer=lambda asked: data(asked, body))
+        async with platform(tmp_path, boxes) as doorman:
+            for n in range(1, 9):
+                with socket.socket() as client:
+                    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+                    client.connect(("127.0.0.1", doorman.port))
+                    client.sendall(request(f"{n:016x}"))
+                    one = trio.socket.from_stdlib_socket(client.dup())
+                    assert (await one.recv(100)).startswith(b"HTTP/1.1 200")
+                    one.close()
+                    if reset:
+                        client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                assert (await doorman.ask())[2] == body
+        nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("how", ["time", "drained", "gone", "source"])
+@with_trio
+async def test_connect_that_comes_too_late_brings_no_request(tmp_path: Path, how: str) -> None:
+    """Meanwhile the client's time is up, or the box or the fill's source was told to drain, or is gone."""
+    async with trio.open_nursery() as nursery:
+        log = await Log().open(nursery)
+        parent, origin, other = await fleet(nursery, PARENT, ORIGIN, OTHER)
+        slow = Box(EDGE)
+        with late_listener() as late:
+            slow.port = late.port
+            listed = [slow, parent, origin] if how == "source" else [slow, origin]
+            async with platform(tmp_path, listed, log, settings=limits(DialTimeoutS=8.0)) as doorman:
+                found: list[int] = []
+
+                async def ask() -> None:
+                    ttl = 400 if how == "time" else 6000
+                    found.append((await doorman.ask(txn="1" * 16, ttl=ttl))[0])
+
+                async with trio.open_nursery() as client:
+                    client.start_soon(ask)
+                    await late.tried()
+                    if how != "time":
+                        told = {"drained": record(slow, 1), "gone": record(slow, 2),
+                                "source": record(parent, 1) + record(origin, 1)}[how]
+                        await log.tell(2, 2, told + record(other, 0))
+                        await log.cut()  # it has been taken in
+                    else:
+                        while not found:
+                            await trio.sleep(0.01)
+                    box = await trio.to_thread.run_sync(late.empty)
+                with box:
+                    box.setblocking(False)
+                    with contextlib.suppress(BlockingIOError):
+                        assert b"GET" not in box.recv(65536)
+                assert found == [504 if how == "time" else 200 if how != "source" else found[0]]
+        nursery.cancel_scope.cancel()
+
+
+@with_trio
+async def test_resting_connections_give_way_to_those_needed(tmp_path: Path) -> None:
+    """More boxes than descriptors kept for them: all are used in turn."""
+    async with trio.open_nursery() as nursery:
+        names = [f"s-000001{n:02x}" for n in range(24)]
+        boxes = await fleet(nursery, *names, ORIGIN)
+        async with platform(tmp_path, boxes, files=64) as doorman:
+            found = [(await doorman.ask(obj=f"{n:016x}"))[0] for n in range(200)]
+            assert found == [200] * 200 and all(box.asked for box in boxes[:-1])
+            assert sum(box.links for box in boxes) > 30
+        nursery.cancel_scope.cancel()
+
+
+@with_trio
+async def test_connections_that_rest_end_before_the_box_ends_them(tmp_path: Path) -> None:
+    """The settings tell after how long a box closes them; we close sooner, and ask on a new one."""
+    async with trio.open_nursery() as nursery:
+        edge, = await fleet(nursery, EDGE)
+        async with platform(tmp_path, [edge], settings=limits(KeepaliveS=0.6)) as doorman:
+            assert (await doorman.ask())[0] == 200
+            with trio.fail_after(5):
+                await edge.until(lambda: edge.ended == 1)
+            assert (await doorman.ask())[0] == 200 and edge.links == 2
+        nursery.cancel_scope.cancel()
+
+
+@with_trio
+async def test_submit_crosses_the_end_of_a_connection_that_rested(tmp_path: Path) -> None:
+    """The box ends what rests in the moment in which a submit comes: it goes by another, and runs once."""
+    async with trio.open_nursery() as nursery:
+        origin, = await fleet(nursery, ORIGIN)
+        async with platform(tmp_path, [origin]) as doorman:
+            for n in range(1, 6):
+                assert (await doorman.ask("sheet-submit", body=b"signed"))[0] == 200
+                text = request(f"{n:016x}", "sheet-submit").replace(b"GET", b"PUT")
+                async with await trio.open_tcp_stream("127.0.0.1", doorman.port) as client:
+                    async with still(doorman):
+                        await origin.end(origin.links)
+                        await client.send_all(text[:-2] + b"Content-Length: 6\r\n\r\nsigned")
+                    assert (await client.receive_some(12)) == b"HTTP/1.1 200"
+                assert [asked.id for asked in origin.asked].count(f"{n:016x}") == 1
+        nursery.cancel_scope.cancel()
+
+
+@with_trio
+async def test_watch_that_falls_silent_is_asked_anew(tmp_path: Path) -> None:
+    """The change log's connection stays open and says nothing: what was missed comes on the next."""
+    async with trio.open_nursery() as nursery:
+        edge, origin = await fleet(nursery, EDGE, ORIGIN)
+        log = await Log().open(nursery)
+        async with platform(tmp_path, [edge, origin], log) as doorman:
+            await log.tell(2, 0, b"")
+            while len(log.since) < 2:
+                log.news = trio.Event()
+                await log.news.wait()
+            await log.tell(3, 2, record(edge, 1))
+            await log.cut()
+            assert log.since[-1] == 3 and (await doorman.ask())[0] == 200 and not edge.asked
+        nursery.cancel_scope.cancel()
+
+
+@with_trio
+async def test_box_that_moves_is_asked_where_it_is_now(tmp_path: Path) -> None:
+    """A connect to its old address is under way: what waits for it goes to the new one, at once."""
+    async with trio.open_nursery() as nursery:
+        log = await Log().open(nursery)
+        edge, = await fleet(nursery, EDGE)
+        slow = Box(EDGE)
+        with late_listener() as late:
+            slow.port = late.port
+            async with platform(tmp_path, [slow], log, settings=limits(DialTimeoutS=8.0)) as doorman:
+                found: list[int] = []
+
+                async def ask() -> None:
+                    found.append((await doorman.ask())[0])
+
+                async with trio.open_nursery() as client:
+                    client.start_soon(ask)
+                    await late.tried()
+                    await log.tell(2, 2, record(edge, 0))
+                assert found == [200]
+        nursery.cancel_scope.cancel()
+
+
+@with_trio
+async def test_no_descriptor_for_a_connect_is_no_fault_of_the_box(tmp_path: Path) -> None:
+    """The system lets us open no more: a request is refused, not cut off; the box is asked once it does."""
+    async with trio.open_nursery() as nursery:
+        edge, = await fleet(nursery, EDGE)
+        async with platform(tmp_path, [edge]) as doorman:
+            client = await trio.open_tcp_stream("127.0.0.1", doorman.port)
+            health = b"GET /-/healthy HTTP/1.1\r\nHost: a\r\n\r\n"
+            await client.send_all(health)
+            assert (await client.receive_some(100)).startswith(b"HTTP/1.1 200")
+            process, open_now = doorman.process.pid, len(os.listdir(f"/proc/{doorman.process.pid}/fd"))
+            usual = resource.prlimit(process, resource.RLIMIT_NOFILE)
+            resource.prlimit(process, resource.RLIMIT_NOFILE, (open_now, usual[1]))
+            await client.send_all(request("1" * 16))
+            assert (await client.receive_some(1000)).startswith(b"HTTP/1.1 503") and not edge.asked
+            resource.prlimit(process, resource.RLIMIT_NOFILE, usual)
+            await client.send_all(request("2" * 16))
+            assert (await client.receive_some(1000)).startswith(b"HTTP/1.1 200")
+        nursery.cancel_scope.cancel()
