--- a/brackenlane/__main__.py
+++ b/brackenlane/__main__.py
@@ -13,7 +13,7 @@
 import trio
 
 from brackenlane.config import Config, ConfigError, load
-from brackenlane.core.copies import Copies
+from brackenlane.core.response_cache import ResponseCache
 from brackenlane.core.core import Core
 from brackenlane.core.counts import Counts
 from brackenlane.limits import Limits
@@ -39,7 +39,7 @@
     with Signals(board, signal.SIGHUP) as hangups:
         async with trio.open_nursery() as nursery:
             core = Core(config.settings, config.seed, limits, lambda attempt: depots.place(attempt),
-                        flow=config.flow, copies=_own_copies(config, limits))
+                        flow=config.flow, cache=_response_cache(config, limits))
             core.timers.first = board.hear
             counts = Counts(c.name for c in config.settings.classes)
             depots = Depots(core.fleet, limits, config.settings, core.report, board, core.timers,
@@ -76,12 +76,12 @@
         return None
 
 
-def _own_copies(config: Config, limits: Limits) -> Copies | None:
-    """Copies of our own, where we are told what our link bears."""
+def _response_cache(config: Config, limits: Limits) -> ResponseCache | None:
+    """The response cache, copies of our own, where we are told what our link bears."""
     if not config.flow or not config.link:
         return None
     room = limits.copies * config.memory_mb * 2**20
-    return Copies(config.settings, room, config.flow, config.link, limits.age_slack)
+    return ResponseCache(config.settings, room, config.flow, config.link, limits.age_slack)
 
 
 def _limits(config: Config) -> Limits:
@@ -102,7 +102,7 @@
             known = list(read_known(new.known, new.site, time.time()))  # all faults come before any change
             if any(getattr(new, name) != getattr(config, name) for name in APPLIED):
                 limits = _limits(new)
-                core.adopt(new.settings, new.seed, limits, new.flow, _own_copies(new, limits))
+                core.adopt(new.settings, new.seed, limits, new.flow, _response_cache(new, limits))
                 depots.adopt(limits, new.settings)
                 door.adopt(limits)
                 log.info("SIGHUP: other settings hold")
--- a/brackenlane/core/core.py
+++ b/brackenlane/core/core.py
@@ -19,7 +19,7 @@
 
 import trio
 
-from brackenlane.core.copies import Copies, Copy
+from brackenlane.core.response_cache import ResponseCache, Copy
 from brackenlane.core.fleet import Fleet
 from brackenlane.core.timers import Timer, Timers
 from brackenlane.limits import Limits
@@ -140,9 +140,9 @@
     def __init__(self, settings: Settings, seed: int, limits: Limits, place: Place,
                  clock: Callable[[], float] = time.time,
                  notice: Callable[[str, Verdict], None] | None = None, flow: float = 0.0,
-                 copies: Copies | None = None) -> None:
+                 cache: ResponseCache | None = None) -> None:
         self._notice, self._flow = notice, flow  # flow: bytes a second of one transfer, if told
-        self._copies = copies
+        self._cache = cache
         self.settings, self.limits, self.clock = settings, limits, clock
         self.fleet = Fleet(settings)
         self._classes = {c.name: c for c in settings.classes}
@@ -177,7 +177,7 @@
             server.tokens = Tokens(now)
 
     def adopt(self, settings: Settings, seed: int, limits: Limits, flow: float,
-              copies: Copies | None) -> None:
+              cache: ResponseCache | None) -> None:
         """Decide by other settings from now on, with nothing learned under the last; what is in hand ends by
         those under which it came."""
         now = self.clock()
@@ -193,14 +193,14 @@
         self.settings, self.limits, self._flow = settings, limits, flow
         self._classes = {c.name: c for c in settings.classes}
         self.fleet.adopt(settings)
-        if copies and self._copies:
-            copies.allow(copies.most * self._copies.part)
-        self._copies = copies
+        if cache and self._cache:
+            cache.allow(cache.most * self._cache.part)
+        self._cache = cache
 
     def keep_copies(self, part: float) -> None:
         """Keep copies of our own in this part of their room from now on."""
-        if self._copies:
-            self._copies.allow(part * self._copies.most)
+        if self._cache:
+            self._cache.allow(part * self._cache.most)
 
     def end_all(self) -> None:
         """Answer all that is in hand now: refused where that does no harm, else failed."""
@@ -214,11 +214,11 @@
     @property
     def has_copies(self) -> bool:
         """Whether there may be copies of our own."""
-        return self._copies is not None
+        return self._cache is not None
 
     def holds(self, cls: str, copy: str) -> bool:
         """Whether there is a copy of our own, of one part of an object."""
-        return self._copies is not None and self._copies.holds(cls, copy)
+        return self._cache is not None and self._cache.holds(cls, copy)
 
     def submit(self, ask: Ask) -> None:
         """Take a request; its `then` is called with the final answer, perhaps before this returns."""
@@ -288,16 +288,16 @@
         else:
             if isinstance(message, (Membership, Purged)):
                 self.fleet.hear(message, now)
-            if isinstance(message, Purged) and self._copies:
-                self._copies.purge(message, now)
+            if isinstance(message, Purged) and self._cache:
+                self._cache.purge(message, now)
             for router in (self._router, *self._earlier):
                 self._handle(message, now, router)
 
     def _own(self, ask: Ask, now: float) -> Answer | None:
         """The answer by a copy of our own, which spares the boxes and the link in."""
-        if not self._copies or ask.connect_only:
+        if not self._cache or ask.connect_only:
             return None
-        copy = self._copies.find(ask.arrival, ask.tag, now)
+        copy = self._cache.find(ask.arrival, ask.tag, now)
         if copy is None:
             return None
         same = copy.tag == ask.tag
@@ -368,9 +368,9 @@
         if self._notice:
             self._notice(attempt.fetch.server, reply.verdict)
         if reply.verdict is Verdict.OK:
-            if self._copies and reply.issued and not reply.unchanged and not self.fleet.purged(
+            if self._cache and reply.issued and not reply.unchanged and not self.fleet.purged(
                     ask.arrival, reply.issued - self.limits.age_slack):
-                self._copies.keep(Copy(ask.arrival, reply.body, reply.tag, reply.issued))
+                self._cache.keep(Copy(ask.arrival, reply.body, reply.tag, reply.issued))
             self._end(name, Answer(Ending.UNCHANGED if reply.unchanged else Ending.SERVED, reply.body,
                                    reply.tag, server=attempt.fetch.server))
         note, first = reply.note, 0.0
--- a/brackenlane/core/copies.py
+++ b/brackenlane/core/response_cache.py
@@ -1,4 +1,4 @@
-"""Copies of our own: objects held in memory and served while our own link to clients has room."""
+"""The response cache: objects held in memory and served while our own link to clients has room."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
     issued: float  # Unix time at which the origin gave it out
 
 
-class Copies:
+class ResponseCache:
     """Bounded in bytes; what was used longest ago goes first."""
 
     def __init__(self, settings: Settings, room: float, flow: float, link: float, slack: float) -> None:
--- a/tests/test_copies.py
+++ b/tests/test_response_cache.py
@@ -1,4 +1,4 @@
-"""Copies of our own: within their room, their age and their purges, and only while our link has room."""
+"""The response cache: within its room, ages and purges, and only while our link has room."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 import pytest
 import trio
 
-from brackenlane.core.copies import Copies, Copy
+from brackenlane.core.response_cache import ResponseCache, Copy
 from frostsail.interface import Arrival, Purged
 from tests.rig import TILES, VIDEO, settings
 from tests.stand_ins import Log, platform, with_trio
@@ -20,9 +20,9 @@
     return Arrival("q1", 3.0, cls, obj, part, group)
 
 
-def copies(**kept: int) -> Copies:
+def copies(**kept: int) -> ResponseCache:
     """Room for 8,000 bytes, a link of 10,000 a second in flows of 1,000, and copies of so many bytes."""
-    found = Copies(settings(classes=(VIDEO, TILES)), 8000, 1000.0, 10_000.0, 0.05)
+    found = ResponseCache(settings(classes=(VIDEO, TILES)), 8000, 1000.0, 10_000.0, 0.05)
     for name, size in kept.items():
         found.keep(Copy(arrival(name), bytes(size), "e1", 100.0))
     return found
