--- a/brackenlane/__main__.py
+++ b/brackenlane/__main__.py
@@ -54,7 +54,7 @@
             nursery.start_soon(core.run)
             nursery.start_soon(board.run)
             changes.start(read_known(config.known, config.site, time.time()),
-                          config.last)
+                          config.cursor)
             nursery.start_soon(_reload, hangups, config, core, depots, door, changes)
             await serve_until_told(door, config.listen, config.name,
                                    (lambda: operators.beside) if config.ops else None, operators.serving)
@@ -113,7 +113,7 @@
             log.exception("SIGHUP: the old configuration stays in force")
             continue
         if new.site != config.site:
-            changes.begin_anew(new.changelog, new.site, known, new.last)
+            changes.begin_anew(new.changelog, new.site, known, new.cursor)
         else:
             changes.move(new.changelog)
         config = new
--- a/brackenlane/config.py
+++ b/brackenlane/config.py
@@ -39,7 +39,7 @@
     seed: int = 0
     changelog: Endpoint | None = None
     known: dict[str, Any] = field(default_factory=dict)
-    last: int = 0  # the number of the last event known
+    cursor: int = 0  # the number of the last event known
     sockets: int = 1024
     memory_mb: float = 192.0
     flow: float = 0.0  # bytes a second of one transfer at the most, 0: not told
@@ -90,15 +90,15 @@
     known = raw.get("known", {})
     if not isinstance(known, dict):
         raise ConfigError("known: an object is needed")
-    last = known.get("seq", 0)
-    if type(last) is not int or not 0 <= last < 2**64:
-        raise ConfigError(f"known.seq: {last!r} is no event's number")
+    cursor = known.get("seq", 0)
+    if type(cursor) is not int or not 0 <= cursor < 2**64:
+        raise ConfigError(f"known.seq: {cursor!r} is no event's number")
     log, limits = raw.get("changelog"), raw.get("limits", {})
     if not isinstance(limits, dict):
         raise ConfigError("limits: an object is needed")
     sockets = _read_number(limits, "sockets", 1024, 64)
     return Config(str(raw["name"]), read_endpoint(raw["listen"], "listen"), settings, site, seed,
-                  read_endpoint(log, "changelog") if log else None, known, last, int(sockets),
+                  read_endpoint(log, "changelog") if log else None, known, cursor, int(sockets),
                   _read_number(limits, "memory_mb", 192, 1),
                   _read_number(raw, "flow_bytes_per_s", 0), _read_number(raw, "link_bytes_per_s", 0),
                   read_endpoint(ops, "ops") if (ops := raw.get("ops") or ops) else None)
--- a/brackenlane/net/changelog.py
+++ b/brackenlane/net/changelog.py
@@ -34,13 +34,13 @@
         self._reader = FrameReader(limits.frame)
         self._again: Timer | None = None  # the next try
         self._random, self._wait = random.Random(seed), limits.log_retry  # before it, on average
-        self.last = 0
+        self.cursor = 0
 
-    def start(self, known: Iterable[Change], last: int) -> None:
+    def start(self, known: Iterable[Change], cursor: int) -> None:
         """Take in what the configuration already knows, then follow."""
         for change in known:
             self._take(change)
-        self.last = max(self.last, last)
+        self.cursor = max(self.cursor, cursor)
         self._connect()
 
     def move(self, endpoint: Endpoint | None) -> None:
@@ -50,11 +50,11 @@
             self._close()
             self._connect()
 
-    def begin_anew(self, endpoint: Endpoint | None, site: Site, known: Iterable[Change], last: int) -> None:
+    def begin_anew(self, endpoint: Endpoint | None, site: Site, known: Iterable[Change], cursor: int) -> None:
         """Read the list by other names of zones and kinds: what is known first, then what came later."""
         self._close()
-        self._endpoint, self._site, self.last = endpoint, site, 0
-        self.start(known, last)
+        self._endpoint, self._site, self.cursor = endpoint, site, 0
+        self.start(known, cursor)
 
     def _connect(self) -> None:
         if self._endpoint is not None:
@@ -76,7 +76,7 @@
         self._patience = min(2 * self._patience, self._limits.log_silence_most)
         self._timers.at(self._heard + self._silence, self._watch, sock)
         try:
-            sock.send(self.last.to_bytes(8, "big"))  # a new connection takes so few at once
+            sock.send(self.cursor.to_bytes(8, "big"))  # a new connection takes so few at once
         except OSError as fault:
             self._end(str(fault))
 
@@ -131,7 +131,7 @@
 
     def _take(self, change: Change) -> None:
         event = change.event
-        if event is None or change.number <= self.last:
+        if event is None or change.number <= self.cursor:
             return
         if isinstance(event, Membership):
             gone = {m.server for m in event.members if m.state is State.GONE}
@@ -139,4 +139,4 @@
         self._tell(event)
         if isinstance(event, Membership):
             self._depots.recheck()
-        self.last = change.number
+        self.cursor = change.number
