--- a/brackenlane/core/core.py
+++ b/brackenlane/core/core.py
@@ -169,7 +169,7 @@
     @property
     def avoided(self) -> set[str]:
         """Servers that the module leaves alone for now."""
-        return {name for name, server in self._router.servers.items() if server.down}
+        return {name for name, server in self._router.servers.items() if server.ejected_until}
 
     def spend_cold(self, now: float) -> None:
         """Count all cold budgets as spent up to now: another process may have used them."""
--- a/brackenlane/limits.py
+++ b/brackenlane/limits.py
@@ -56,7 +56,7 @@
     keepalive_part: float = 0.8  # of the time after which a box closes what is idle: then we have done so
     link_share: int = 6  # open requests on each, from which one more connection is opened
     given_up: int = 512  # ids remembered per connection, whose late or second answers are ignored
-    moves: int = 1  # of an attempt to another connection, as one ends before a byte of it is out
+    redispatches: int = 1  # of an attempt to another connection, as one ends before a byte of it is out
     answer_time: float = 6.0  # a connection whose answer takes longer is closed: no client waits so long
     write_stall: float = 1.0  # a connection that takes no byte for so long is closed
     watch: float = 0.05  # between two looks at the connections to boxes while anything is open on one
--- a/brackenlane/net/depots.py
+++ b/brackenlane/net/depots.py
@@ -28,7 +28,7 @@
 class Slot:
     """One attempt at a box, from its placing to its outcome."""
 
-    __slots__ = ("attempt", "id", "sent", "link", "timer", "moves", "_report")
+    __slots__ = ("attempt", "id", "sent", "link", "timer", "redispatches", "_report")
 
     def __init__(self, attempt: Attempt, report: Report) -> None:
         self.attempt, self._report = attempt, report
@@ -36,7 +36,7 @@
         self.sent = 0.0
         self.link: Link | None = None
         self.timer: Timer | None = None
-        self.moves = 0  # to another connection, since one ended before a byte of it was out
+        self.redispatches = 0  # to another connection, since one ended before a byte of it was out
 
     @property
     def over(self) -> bool:
@@ -63,7 +63,7 @@
                               time.time() - self.attempt.started))
 
 
-class Places:
+class ConnectionQuota:
     """The descriptors that connections to boxes may have, all boxes together; the others are kept for the
     change log, operators and clients. One is taken as a connect begins, given back as its connection ends.
     """
@@ -88,9 +88,10 @@
     """One connection to a box: answers arrive in any order."""
 
     def __init__(self, sock: socket.socket, board: Board, fleet: Fleet, limits: Limits,
-                 may_probe: bool, tried: Tried, again: Callable[[Slot], None], places: Places) -> None:
+                 may_probe: bool, tried: Tried, again: Callable[[Slot], None],
+                 quota: ConnectionQuota) -> None:
         self._sock, self._board, self._tried = sock, board, tried
-        self._places = places
+        self._quota = quota
         self._again = again  # takes back an attempt of which no byte is out
         self._reading = False
         self._begun = 0.0  # since when an answer has been coming in, 0: none is
@@ -167,13 +168,13 @@
         self.open = False
         self._board.remove(self._sock.fileno())
         self._sock.close()
-        self._places.give()
+        self._quota.give()
         self._out.clear()
         waiting, self._waiting = list(self._waiting.values()), {}
         for slot in waiting:
             slot.link = None
-            if not slot.attempt.written and slot.moves < self._limits.moves:
-                slot.moves += 1
+            if not slot.attempt.written and slot.redispatches < self._limits.redispatches:
+                slot.redispatches += 1
                 self._again(slot)
             else:
                 slot.settle(Reply(Verdict.BROKEN if slot.attempt.written else Verdict.UNREACHABLE,
@@ -336,9 +337,9 @@
     """The actor of one box: it performs attempts, as they are posted, on connections of its own."""
 
     def __init__(self, server: str, endpoint: Endpoint, fleet: Fleet, limits: Limits, settings: Settings,
-                 report: Report, board: Board, timers: Timers, tried: Tried, places: Places) -> None:
+                 report: Report, board: Board, timers: Timers, tried: Tried, quota: ConnectionQuota) -> None:
         self.server, self.endpoint, self.board, self.timers = server, endpoint, board, timers
-        self._places = places
+        self._quota = quota
         self._tried = tried
         self._fleet, self._limits, self._report = fleet, limits, report
         self.connect_timeout, self._may_probe = settings.connect_timeout, settings.may_probe
@@ -445,7 +446,7 @@
     def _start_dial(self, keep: bool = True, needed: bool = True) -> None:
         if self._dial:
             self._dial.keep |= keep
-        elif not self._places.take(needed):
+        elif not self._quota.take(needed):
             waiting, self._mail = self._mail, deque()
             for slot in waiting:  # our own want says nothing of the box
                 slot.settle(NEVER_SENT)
@@ -457,19 +458,19 @@
     def dialled(self, dial: Dial, sock: socket.socket | None) -> None:
         """A try to connect has ended."""
         if dial is not self._dial:  # the box has moved meanwhile
-            self._places.give()
+            self._quota.give()
             return sock.close() if sock else None
         self._dial = None
         waiting, self._mail = self._mail, deque()
         if sock and not dial.keep:
             sock.close()
-            self._places.give()
+            self._quota.give()
         elif sock is None:
-            self._places.give()
+            self._quota.give()
         else:
             self._links = [*(at for at in self._links if at.open),
                            Link(sock, self.board, self._fleet, self._limits, self._may_probe,
-                                self._tried, self._serve, self._places)]
+                                self._tried, self._serve, self._quota)]
         for slot in waiting:
             wait = time.time() - slot.attempt.started
             if dial.starved:
@@ -492,8 +493,8 @@
         self._board, self._timers, self._settings = board, timers, settings
         self._endpoints: dict[str, Endpoint] = {}
         self._peers: dict[str, Peer] = {}
-        self._places = Places(limits.box_links)
-        self._places.make_room = self._end_resting
+        self._quota = ConnectionQuota(limits.box_links)
+        self._quota.make_room = self._end_resting
         self._gone: list[Peer] = []  # off the list, with something out
         self._look = self._look_in(time.time(), limits.watch)
         self._idle = False  # nothing is open anywhere: looks are far between
@@ -510,7 +511,7 @@
                 return False
             peer = self._peers[server] = Peer(server, self._endpoints[server], self._fleet, self._limits,
                                               self._settings, self._report, self._board, self._timers,
-                                              self._tried, self._places)
+                                              self._tried, self._quota)
         if self._idle:
             self._idle = False
             self._look.cancel()
@@ -524,7 +525,7 @@
 
     def adopt(self, limits: Limits, settings: Settings) -> None:
         """Keep to other limits and settings from now on."""
-        self._limits, self._settings, self._places.most = limits, settings, limits.box_links
+        self._limits, self._settings, self._quota.most = limits, settings, limits.box_links
         for peer in (*self._peers.values(), *self._gone):
             peer.adopt(limits, settings)
 
--- a/frostsail/brain.py
+++ b/frostsail/brain.py
@@ -45,7 +45,7 @@
         self.me, self.width = me, 0.0  # as listed; transfers on its link, as answers have shown
         self.hand = self.usual = 0.0  # our attempts at a cache, likely fills of a source; the mean lately
         self.blame = 0.0  # what speaks against it since its last successes
-        self.down = self.gap = 0.0  # out until then, 0 = in; the last wait between trials
+        self.ejected_until = self.gap = 0.0  # out until then, 0 = in; the last wait between trials
         self.trial = False
         self.timely = 1.0  # the share of its latest fills that were not overdue
         self.seen = self.cut = self.slow = self.broken = -math.inf  # alive, window halved, late, cut off
@@ -184,7 +184,7 @@
         if self.strained and not attempt.fill and now >= request.born + request.aim:
             return self._finish(request, now)  # late work keeps the links; a late fill leaves a copy at least
         # Not worth waiting for once its cache or source is out. A long answer alone is left to run.
-        out = attempt.edge.down or (attempt.source and attempt.source.down)
+        out = attempt.edge.ejected_until or (attempt.source and attempt.source.ejected_until)
         again = self.retries >= 1 and request.deadline - now > request.work
         if out and again and self.s.may_cancel and request.sent < self.s.max_attempts:
             self.actions.append(Cancel(name, number))
@@ -261,16 +261,16 @@
         rungs: list[Server] = []
         for step, ring in enumerate(self.rings):
             sharers = self.s.gateways if step else self.hub_seats
-            best = max((s.timely for s in ring if not s.down), default=1.0)
+            best = max((s.timely for s in ring if not s.ejected_until), default=1.0)
             # One whose fills come late, but not all, is never out for long, and one fill in hand at each
             # gateway is many at it: it is offered as often as its fills deserve, also if the others are full.
             rungs = rungs or [s for s in self._order(f"{request.ask.obj}|{step}", ring)
                               if self._usable(s, request, now) and self._fits(s, sharers, request, now)
-                              and (s.down or self.random.random() * best**2 < s.timely**2)]
+                              and (s.ejected_until or self.random.random() * best**2 < s.timely**2)]
         origin = self.origin if self.origin and self._usable(self.origin, request, now) else None
         # Fills for which the parents have no room are not the origin's: it bears a part of them at most, and
         # every gateway would send it theirs at once. It stands in for parents that are out.
-        full = not request.cls.uncached and any(not s.down for ring in self.rings for s in ring)
+        full = not request.cls.uncached and any(not s.ejected_until for ring in self.rings for s in ring)
         if request.cls.uncached or not rungs:
             return None if full else origin or (rungs[-1] if rungs else None)
         # Requests for an object reach log r of them, and each reached asks the origin for it: r grows with
@@ -287,7 +287,7 @@
         """In, or out and due for a single trial; within its window and its cold budget."""
         # What sums of parts leave behind counts as nothing: a window of 1 would never open again.
         full = server.hand > max(server.window - 1, 1e-6)
-        out = full or (server.down and (server.trial or now < server.down))
+        out = full or (server.ejected_until and (server.trial or now < server.ejected_until))
         return not out and self._cold_room(server, now) >= self._cold_cost(server, request)
 
     def _cold_cost(self, server: Server, request: Request) -> float:
@@ -322,20 +322,20 @@
             server.window, server.cut = max(1.0, server.window / 2), now  # once for all that fails together
         # Blame that all share is a jam: nobody is taken out for it. But a jam delays, it fails no connect.
         like = self.edges if server.me.role is Role.EDGE else [s for ring in self.rings for s in ring]
-        peers = [s.blame for s in like if s is not server and not s.down]
+        peers = [s.blame for s in like if s is not server and not s.ejected_until]
         bar = SUSPECT + (sum(peers) / len(peers) if peers else math.inf)
-        if server.trial or ((server.blame >= bar or weight > SUSPECT) and not server.down):
+        if server.trial or ((server.blame >= bar or weight > SUSPECT) and not server.ejected_until):
             server.gap = max(self.s.connect_timeout, min(2 * server.gap, 8.0))
             # Trials of all gateways must not come at one moment.
-            server.down, server.trial = now + server.gap * self.random.uniform(0.75, 1.25), False
+            server.ejected_until, server.trial = now + server.gap * self.random.uniform(0.75, 1.25), False
 
     def _clear(self, server: Server, now: float) -> None:
         """A success of a server: blame fades; one that was out may have restarted, so it counts as cold."""
         server.blame, server.seen = server.blame / 2, now
-        if server.down:
+        if server.ejected_until:
             if server.gap > 2 * self.s.connect_timeout:
                 server.born, server.tokens = now, Tokens(now)
-            server.down, server.gap, server.blame, server.trial = 0.0, 0.0, 0.0, False
+            server.ejected_until, server.gap, server.blame, server.trial = 0.0, 0.0, 0.0, False
 
     def _arrive(self, ask: Arrival, now: float) -> None:
         cls = self.classes.get(ask.cls) or self.s.classes[0]
@@ -384,7 +384,7 @@
         asked, source = source, behind or source
         self.retries -= again * request.cost
         for server in {s.me.server: s for s in (edge, source, asked) if s}.values():
-            if server.down:
+            if server.ejected_until:
                 server.trial = server in (edge, source)
             if self._cold_room(server, now) < math.inf:
                 server.tokens.work -= self._cold_cost(server, request)
--- a/tests/test_ladder.py
+++ b/tests/test_ladder.py
@@ -159,7 +159,7 @@
     for fetch in open_there:
         if fetch.server == "edge-0":
             rig.end(fetch, verdict)
-    assert bool(rig.router.servers["edge-0"].down) is out
+    assert bool(rig.router.servers["edge-0"].ejected_until) is out
 
 
 def test_nothing_adds_up(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -194,7 +194,7 @@
                 timer = every(actions, SetTimer)[-1]
                 rig.now = max(rig.now, timer.at)
                 rig.router.handle(Wake(timer.token), rig.now)
-                rig.router.servers["parent-0"].down = 0.0  # a fill that came puts it back
+                rig.router.servers["parent-0"].ejected_until = 0.0  # a fill that came puts it back
             rig.end(fetch, note=Note.FILLED)
         return seen / rounds
 
@@ -209,6 +209,6 @@
     """A trial that had to win a draw for timely fills as well came once in hundreds of requests."""
     rig = Rig(members(parents=("hub-a",)))
     parent = rig.router.servers["parent-0"]
-    parent.timely, parent.down, parent.gap = 0.01, 1.0, 1.0
+    parent.timely, parent.ejected_until, parent.gap = 0.01, 1.0, 1.0
     rig.now = 1.5
     assert only(rig.ask("clip", "video"), Fetch).source == "parent-0"
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -120,12 +120,12 @@
     core.post(Membership(ListKind.FULL, (Member("box", "here"), Member("other", "here"))))
     core.post(Purged("thing", -1, 0.5))
     first = core._router
-    first.servers["box"].width, first.servers["box"].down = 9.0, now + 60
+    first.servers["box"].width, first.servers["box"].ejected_until = 9.0, now + 60
     ask = Ask(Arrival("q", 4.0, "a", "thing", is_write=True), now + 4.0, "1" * 16)
     core.submit(ask)
     core.adopt(Settings("here", ("here",), (new,), direct=True, max_attempts=4), 1, Limits(), 0.0, None)
     assert core._router is not first and {s.width for s in core._router.servers.values()} == {0.0}
-    assert not any(s.down for s in core._router.servers.values())
+    assert not any(s.ejected_until for s in core._router.servers.values())
     assert core._router.purges.keys() == {"thing"}
     assert first.servers["box"].tokens.fill(now + 99, 5.0, 5.0) == 0.0
     placed[0].written = True
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -26,7 +26,7 @@
         rig.now += 0.5
         rig.serve(f"o{n}")
     back = [s for s in rig.router.servers.values() if s.me.server.startswith("edge")]
-    assert not any(s.down for s in back) and all(s.born == 2.0 for s in back)
+    assert not any(s.ejected_until for s in back) and all(s.born == 2.0 for s in back)
 
 
 def test_a_restarted_gateway_with_an_old_list_leaves_what_does_not_answer() -> None:
@@ -48,14 +48,14 @@
         rig.now += 0.2
         rig.serve(f"o{n}")
     for n in range(20):
-        if rig.router.servers["edge-0"].down:
+        if rig.router.servers["edge-0"].ejected_until:
             break
         fetch = only(rig.ask(f"lost{n}"), Fetch)
         wait = 1.5 if fetch.server == "edge-0" else 0.4
         rig.now += wait
         rig.end(fetch, Verdict.TIMEOUT if fetch.server == "edge-0" else Verdict.OK, wait=wait)
-    assert rig.router.servers["edge-0"].down
-    assert not rig.router.servers["edge-1"].down and not rig.router.servers["edge-2"].down
+    assert rig.router.servers["edge-0"].ejected_until
+    assert not rig.router.servers["edge-1"].ejected_until and not rig.router.servers["edge-2"].ejected_until
 
 
 def test_a_cache_that_grows_slower_is_passed_over_by_its_crowd() -> None:
--- a/tests/test_strain.py
+++ b/tests/test_strain.py
@@ -120,15 +120,15 @@
     for n in range(6):
         actions = rig.ask(f"late{n}")
         fetch, timer = only(actions, Fetch), every(actions, SetTimer)[1]
-        assert fetch.source == "parent-0" or rig.router.servers["parent-0"].down
+        assert fetch.source == "parent-0" or rig.router.servers["parent-0"].ejected_until
         rig.now += 0.01
         for k in range(5):
             rig.serve(f"hit{n}-{k}")  # hits prove that the caches are alive
         rig.now = max(rig.now, timer.at)
         rig.router.handle(Wake(timer.token), rig.now)
-    assert rig.router.servers["parent-0"].down
-    assert not any(s.down for s in rig.router.servers.values() if s.me.server.startswith("edge"))
-    rig.router.servers["parent-0"].down = rig.now + 60  # no trial is due yet
+    assert rig.router.servers["parent-0"].ejected_until
+    assert not any(s.ejected_until for s in rig.router.servers.values() if s.me.server.startswith("edge"))
+    rig.router.servers["parent-0"].ejected_until = rig.now + 60  # no trial is due yet
     rig.router.strained, rig.router.servers["parent-1"].window = False, 8.0
     assert only(rig.ask("next"), Fetch).source == "parent-1"
 
@@ -206,7 +206,7 @@
     assert any(f.source == f.server for f in fetches)  # looked for only
     for server in rig.router.servers.values():
         if server.me.role is Role.PARENT:
-            server.down = math.inf
+            server.ejected_until = math.inf
     assert only(rig.ask("o99", size_kb=40.0), Fetch).source == "origin"
 
 
