A SIGHUP at a start neither ends the program nor gets lost

Two tests fail before (tests/test_reload.py; the second by a pipe as the file, which forces the moment):

- Before the first line of main the signal did what it does by itself and ended the process: some 0.2 s of imports at each restart.
- Between reading the file and the handler it was ignored, so a file replaced right then was never read: such a doorman followed the old discovery address for good.
Early remembers it, and Signals serves it.

Also, as guards: a client that fails while its socket is looked at as an attempt is written ends itself, not the box's connection; an attempt that can't be placed counts as never sent and does not stop the mailbox.

--- a/brackenlane/__main__.py
+++ b/brackenlane/__main__.py
@@ -25,7 +25,7 @@
 from brackenlane.ops.door import OpsDoor
 from brackenlane.ops.ledger import Ledger, LedgerError
 from brackenlane.ops.operators import Operators
-from brackenlane.service import Signals, listen_plain, serve_until_told
+from brackenlane.service import Early, Signals, listen_plain, serve_until_told
 from brackenlane.observe.throttle import Throttle
 
 log = logging.getLogger(__name__)
@@ -126,8 +126,9 @@
     logging.basicConfig(level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
     for handler in logging.getLogger().handlers:
         handler.addFilter(Throttle(Limits().log_lines, Limits().log_span))
-    # Guards against a SIGHUP that ends the program: before its handler stands, or where none is.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    # Guards against a SIGHUP that ends the program, and against a new file whose SIGHUP comes between the
+    # reading of the old one and the handler; before this line `run` in the deploy file has it ignored.
+    signal.signal(signal.SIGHUP, Early() if not words else signal.SIG_IGN)
     status = 0
     try:
         match words:
--- a/brackenlane/core/core.py
+++ b/brackenlane/core/core.py
@@ -350,9 +350,16 @@
         # Guards against running a write twice, should the module ever ask for it.
         unsafe = ask.once and ask.may_have_run
         ask.attempts.append(attempt)
-        if unsafe or not self._place(attempt):
+        if unsafe or not self._placed(attempt):
             self.post((attempt, Reply(Verdict.NEVER_SENT)))  # an event of its own, after this decision
 
+    def _placed(self, attempt: Attempt) -> bool:
+        try:
+            return self._place(attempt)
+        except Exception:  # one attempt must not end the working off of all other messages
+            log.exception("an attempt could not be placed")
+            return attempt.written
+
     def _cancel(self, action: Cancel) -> None:
         # Straight to the attempt, not by the peer's mailbox, where it could wait behind others.
         ask = self._asks.get(action.request)
--- a/brackenlane/net/clients.py
+++ b/brackenlane/net/clients.py
@@ -535,9 +535,13 @@
 
     def stays(self) -> bool:
         """Whether the client is still there, by its socket at this moment: its end may not have been read."""
-        for _ in range(4):  # what stands before that end has a bound too
-            if not self.open or not self._receive():
-                break
+        try:
+            for _ in range(4):  # what stands before that end has a bound too
+                if not self.open or not self._receive():
+                    break
+        except Exception:  # one client must not end the connection to a box, nor another's request
+            log.exception("a client's connection failed")
+            self.close()
         return self.open
 
     def _receive(self) -> bool:
--- a/brackenlane/service.py
+++ b/brackenlane/service.py
@@ -62,6 +62,16 @@
         log.warning("new connections are not steered: %s", fault.strerror)
 
 
+class Early:
+    """A handler for a signal that comes before it can be served: `Signals` serves it then."""
+
+    came = False
+
+    def __call__(self, *_: object) -> None:
+        """It came."""
+        self.came = True
+
+
 class Signals:
     """Signals by a socket on the board: a board that waits itself does not hear trio's own way of telling."""
 
@@ -76,6 +86,8 @@
         self._write.setblocking(False)
         self._board.add(self._read.fileno(), self._ready, urgent=True)
         self._old = [signal.signal(number, self._tell) for number in self._signals]
+        if any(isinstance(old, Early) and old.came for old in self._old):
+            self._tell()
         return self
 
     def __exit__(self, *_: object) -> None:
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
+import os
 import signal
+import subprocess
+import sys
 import time
+import tomllib
 from pathlib import Path
 from typing import Any
 
@@ -16,7 +21,9 @@
 from frostsail.interface import (
     Arrival, Effect, ListKind, Member, Membership, Purged, RequestClass, Settings, Verdict,
 )
-from tests.stand_ins import SETTINGS, Asked, Box, Log, Program, data, free_port, platform, with_trio
+from tests.stand_ins import (
+    ROOT, SETTINGS, Asked, Box, Log, Program, data, free_port, platform, with_trio,
+)
 
 EDGE, ORIGIN = "s-00000001", "s-00000009"
 OTHERS: dict[str, Any] = {  # another customer: other classes, effects, times and names of zones
@@ -27,6 +34,11 @@
                    "GraceForS": [0, 0]}}
 
 
+async def fleet(nursery: trio.Nursery) -> list[Box]:
+    """An edge cache and the origin."""
+    return [await Box(name, model).open(nursery) for name, model in ((EDGE, "type-a"), (ORIGIN, "origin"))]
+
+
 def replaced(path: Path, **changes: Any) -> None:
     """Write a configuration with changes; "az" moves all boxes to the zones of other settings."""
     raw = orjson.loads(path.read_bytes())
@@ -48,8 +60,7 @@
     """What is in hand ends as it came; then classes, effects, zones and times are the new ones alone."""
     async with trio.open_nursery() as nursery:
         held: list[Asked] = []
-        edge, origin = [await Box(name, model).open(nursery)
-                        for name, model in ((EDGE, "type-a"), (ORIGIN, "origin"))]
+        edge, origin = await fleet(nursery)
         log, path = await Log().open(nursery), tmp_path / "config.json"
         async with platform(tmp_path, [edge, origin], log) as doorman:
             assert (await doorman.ask())[0] == 200 and await put(doorman, "sheet-submit") == 200
@@ -91,8 +102,7 @@
 async def test_unusable_changes_nothing(tmp_path: Path, change: dict[str, Any], said: bytes) -> None:
     """Not one part of an unusable file comes into force: classes, list and the log's address stay."""
     async with trio.open_nursery() as nursery:
-        edge, origin = [await Box(name, model).open(nursery)
-                        for name, model in ((EDGE, "type-a"), (ORIGIN, "origin"))]
+        edge, origin = await fleet(nursery)
         log, path = await Log().open(nursery), tmp_path / "config.json"
         async with platform(tmp_path, [edge, origin], log) as doorman:
             raw = orjson.loads(path.read_bytes())
@@ -131,3 +141,73 @@
     placed[0].written = True
     core.report(placed[0], Reply(Verdict.ERROR, 0.1))  # by the class of now it could be tried again
     assert len(placed) == 1 and ask.over and not core._earlier
+
+
+@with_trio
+async def test_signal_while_the_old_file_is_read_is_not_lost(tmp_path: Path) -> None:
+    """The file is replaced, and SIGHUP sent, between the start and the first look at signals."""
+    async with trio.open_nursery() as nursery:
+        boxes = await fleet(nursery)
+        async with platform(tmp_path, boxes):
+            old = (tmp_path / "config.json").read_bytes()
+        replaced(tmp_path / "config.json", settings=OTHERS)
+        new, pipe = (tmp_path / "config.json").read_bytes(), tmp_path / "pipe"
+        os.mkfifo(pipe)
+
+        async def tell(text: bytes, pid: int = 0) -> None:
+            """Be read once, by whoever opens the file; a signal goes to them while they read."""
+            def write() -> None:
+                with pipe.open("wb") as file:
+                    if pid:
+                        os.kill(pid, signal.SIGHUP)
+                    file.write(text)
+            await trio.to_thread.run_sync(write, abandon_on_cancel=True)
+
+        port = int(orjson.loads(old)["listen"].partition(":")[2])
+        process = await trio.lowlevel.open_process(
+            started(), cwd=ROOT, env={**os.environ, "GW_CONFIG": str(pipe)}, stderr=subprocess.DEVNULL)
+        try:
+            await tell(old, process.pid)
+            await tell(new)
+            while True:
+                with contextlib.suppress(OSError):
+                    if (await Program(process, port, bytearray()).ask("plates"))[0] == 200:
+                        break
+                await trio.sleep(0.02)
+        finally:
+            process.kill()
+            await process.wait()
+        nursery.cancel_scope.cancel()
+
+
+def started() -> list[str]:
+    """How the platform starts the program, by the Python of these tests."""
+    run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+    return ["sh", "-c", run.replace(".venv/bin/python", sys.executable)]
+
+
+@with_trio
+async def test_signal_before_the_program_is_one(tmp_path: Path) -> None:
+    """SIGHUP as soon as there is a process of ours, long before its first line: it starts all the same."""
+    async with trio.open_nursery() as nursery:
+        boxes = await fleet(nursery)
+        async with platform(tmp_path, boxes):
+            pass
+        path = tmp_path / "config.json"
+        port = int(orjson.loads(path.read_bytes())["listen"].partition(":")[2])
+        process = await trio.lowlevel.open_process(
+            started(), cwd=ROOT, env={**os.environ, "GW_CONFIG": str(path)}, stderr=subprocess.DEVNULL)
+        try:
+            while b"brackenlane" not in Path(f"/proc/{process.pid}/cmdline").read_bytes().split(b"\0")[2:]:
+                await trio.lowlevel.checkpoint()
+            process.send_signal(signal.SIGHUP)
+            while process.poll() is None:
+                with contextlib.suppress(OSError):
+                    if (await Program(process, port, bytearray()).ask())[0] == 200:
+                        break
+                await trio.sleep(0.02)
+            assert process.poll() is None
+        finally:
+            process.kill()
+            await process.wait()
+        nursery.cancel_scope.cancel()
