--- /dev/null
+++ b/benchmarks/endings.py
@@ -0,0 +1,47 @@
+"""Endings: random crossings against the real program; every rule broken is told (docs/design/endings.md).
+
+python benchmarks/endings.py [--check] [--quick] [--seed N] [--root CHECKOUT]; the last line is a JSON object.
+Even seeds play it running on, odd ones with moments in which it stands still; every third may not cancel.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import sys
+import tempfile
+from pathlib import Path
+
+import trio
+
+sys.path.insert(0, str(Path(__file__).parents[1]))
+
+from brackenlane.lab import site  # noqa: E402
+from brackenlane.lab.crossings import Play, judge  # noqa: E402
+
+
+def main() -> int:
+    """Play some seeds."""
+    words = argparse.ArgumentParser(description=__doc__)
+    words.add_argument("--check", action="store_true")
+    words.add_argument("--quick", action="store_true")
+    words.add_argument("--seed", type=int, default=1)
+    words.add_argument("--root", type=Path, default=site.ROOT)
+    told = words.parse_args()
+    plays, seconds = (3, 8.0) if told.quick else (10, 15.0)
+    attempts = answers = 0
+    found: list[str] = []
+    for seed in range(told.seed, told.seed + plays):
+        with tempfile.TemporaryDirectory() as folder:
+            record = trio.run(Play(seed, seconds, Path(folder), seed % 3 != 0, told.root.resolve()).run)
+        broken = judge(record)
+        attempts, answers = attempts + len(record.gets), answers + len(record.answers)
+        found += broken
+        print(f"seed {seed}: {len(record.gets)} attempts, {len(record.answers)} clients that stayed, "
+              f"{len(record.left)} in all, {len(broken)} broken {broken[:4]}")
+    print(json.dumps({"plays": plays, "attempts": attempts, "answers": answers, "broken": len(found)}))
+    return 1 if told.check and (found or answers < 100 * plays) else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
