Guards where a socket can't be watched; the appliance keeps to the system's descriptors

Read through once more: Dial.start and Peer.dialled register a socket at the epolls, which may fail for want of room (ENOSPC, ENOMEM): the connect then never ended, or what waited for it was let go of without its outcome. Now as if there were no descriptor. The appliance divides what the system allows it, like the platform's doorman. The test of a SIGHUP while the old file is read waited for nothing between two writes into its pipe, so that both could be read as one (seen once under load).

--- a/brackenlane/cli/main.py
+++ b/brackenlane/cli/main.py
@@ -31,13 +31,16 @@
 @click.argument("file")
 def appliance(file: str) -> None:
     """Run a small site's doorman, set up by the operator's FILE, until SIGTERM."""
+    import resource
+
     import trio
 
     from brackenlane import appliance as program
     from brackenlane.limits import Limits
 
-    site = program.load(file)
-    trio.run(program.serve, site, Limits().suited(site.settings))
+    site, limits = program.load(file), Limits()
+    sockets = resource.getrlimit(resource.RLIMIT_NOFILE)[0] - limits.appliance_own
+    trio.run(program.serve, site, limits.within(max(64, sockets)).suited(site.settings))
 
 
 @cli.command(context_settings={"ignore_unknown_options": True})
--- a/brackenlane/limits.py
+++ b/brackenlane/limits.py
@@ -31,6 +31,7 @@
 
     # Descriptors
     own: int = 24  # kept back for our own: listeners, epolls, signals, ledger, change log, files
+    appliance_own: int = 192  # besides, for the appliance: DNS connections, look-ups, store, console
 
     # Operators
     ops_head: int = 4_096  # of a call, and of what may follow it
--- a/brackenlane/net/depots.py
+++ b/brackenlane/net/depots.py
@@ -468,9 +468,15 @@
         elif sock is None:
             self._quota.give()
         else:
-            self._links = [*(at for at in self._links if at.open),
-                           Link(sock, self.board, self._fleet, self._limits, self._may_probe,
-                                self._tried, self._serve, self._quota)]
+            try:
+                link = Link(sock, self.board, self._fleet, self._limits, self._may_probe, self._tried,
+                            self._serve, self._quota)
+            except OSError:  # no room to watch it: as if there were no descriptor
+                sock.close()
+                sock, dial.starved = None, True
+                self._quota.give()
+            else:
+                self._links = [*(at for at in self._links if at.open), link]
         for slot in waiting:
             wait = time.time() - slot.attempt.started
             if dial.starved:
--- a/brackenlane/net/dial.py
+++ b/brackenlane/net/dial.py
@@ -60,7 +60,11 @@
         if failed not in (0, errno.EINPROGRESS):
             return self._end(None)
         self._timer = self._timers.at(time.time() + self._timeout, self._end, None)
-        self._board.add(self._sock.fileno(), self._ready, WRITE, urgent=True)
+        try:
+            self._board.add(self._sock.fileno(), self._ready, WRITE, urgent=True)
+        except OSError:  # no room to watch it: as if there were no descriptor
+            self.starved = True
+            self._end(None)
 
     def _ready(self, _: int) -> None:
         self._end(self._sock if not self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) else None)
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -168,6 +168,8 @@
             started(), cwd=ROOT, env={**os.environ, "GW_CONFIG": str(pipe)}, stderr=subprocess.DEVNULL)
         try:
             await tell(old, process.pid)
+            while str(pipe) in opened(process.pid):  # else it would read on into the new one
+                await trio.sleep(0.005)
             await tell(new)
             while True:
                 with contextlib.suppress(OSError):
@@ -180,6 +182,15 @@
         nursery.cancel_scope.cancel()
 
 
+def opened(pid: int) -> set[str]:
+    """What a process has open (proc(5))."""
+    folder, found = f"/proc/{pid}/fd", set()
+    for name in os.listdir(folder):
+        with contextlib.suppress(OSError):
+            found.add(os.readlink(f"{folder}/{name}"))
+    return found
+
+
 def started() -> list[str]:
     """How the platform starts the program, by the Python of these tests."""
     run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
