One line in the log for each kind of bad input that had none

A flood behind a request, a request that can't be served or read, one that does not end, a box's second answer, and a box's end within an answer were met in silence.

--- a/brackenlane/net/clients.py
+++ b/brackenlane/net/clients.py
@@ -508,6 +508,8 @@
         waits = self._waits
         self.ready(READ)
         if self.open and self._waits is waits:
+            if waits is Waits.REST:
+                log.warning("a client does not end its request")
             self._part()
 
     def _part(self) -> None:
@@ -570,6 +572,8 @@
             # owed ends the connection; read on, it tells when its client leaves.
             self._room -= len(data)
             if self._room <= 0:
+                if not self._flooded:
+                    log.warning("a client sends on and on behind its request: its answer ends the connection")
                 self._flooded, self._plain = True, ""
             elif self._raw:
                 self._raw, self._plain = self._raw + data, ""  # more than one request: read in full
@@ -608,6 +612,7 @@
         try:
             self._door.take(self, reading, since)
         except BadRequest as fault:  # a fault of the request alone
+            log.warning("a request that can't be served: %s", fault)
             self.answer((fault.status.value, fault.headers, f"{fault}\n".encode()))
 
     def refuse(self, now: float) -> None:
@@ -648,6 +653,7 @@
         if reading := self._requests.whole:
             self._queue(reading.target, "x-second-try" in reading.headers)
         elif wrong := self._requests.fault:
+            log.warning("a client that can't be read: %s", wrong)
             self._close = True
             self.wait(Waits.NOT)
             self.answer((wrong.status.value, wrong.headers, f"{wrong}\n".encode()))
--- a/brackenlane/net/depots.py
+++ b/brackenlane/net/depots.py
@@ -101,7 +101,7 @@
         self._stuck = 0.0  # since when it takes no byte
         self._asked = False  # whether it lives
         self._waiting: dict[str, Slot] = {}
-        self._past: OrderedDict[str, None] = OrderedDict()  # ids to which more may come
+        self._past: OrderedDict[str, bool] = OrderedDict()  # ids to which more may come; whether answered
         self._out: deque[Slot | bytes] = deque()
         self._rest = memoryview(b"")  # of what has been written in part
         self._whole: Slot | None = None  # the attempt that is, once the rest is out
@@ -152,12 +152,12 @@
         """Tell the box that an attempt is wanted no more."""
         if not self.open:
             return
-        self._remember(slot.id)
+        self._remember(slot.id, answered=False)
         self._out.appendleft(boxwire.encode_drop(slot.id))
         self._flush()
 
-    def _remember(self, wire_id: str) -> None:
-        self._past[wire_id] = None
+    def _remember(self, wire_id: str, answered: bool) -> None:
+        self._past[wire_id] = answered
         if len(self._past) > self._limits.given_up:
             self._past.popitem(last=False)
 
@@ -292,6 +292,8 @@
         except OSError:
             data = b""
         if not data:
+            if self._parser.partial:
+                log.warning("a box ends its connection within an answer, %d open", len(self._waiting))
             return self.close()
         self._heard, self._asked, self._reading = time.time(), False, True
         whole = False
@@ -312,6 +314,8 @@
     def _answer(self, answer: boxwire.BoxAnswer) -> None:
         slot = self._waiting.get(answer.id)
         if slot is None or not slot.attempt.written:
+            if self._past.get(answer.id):
+                log.warning("a box answers a second time")
             return
         now = time.time()
         ask, verdict, body = slot.attempt.ask, answer.verdict, answer.body
@@ -328,7 +332,7 @@
                 verdict, body = Verdict.ERROR, b""
         # A second answer does no harm where all that can follow is another look for the same object.
         if not (verdict.never_ran and ask.repeatable):
-            self._remember(slot.id)
+            self._remember(slot.id, answered=True)
         slot.settle(Reply(verdict, now - slot.sent, answer.note, body, tag, unchanged,
                           answer.issued))
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -214,13 +214,17 @@
         if len(came) == 1:
             return data(asked, b"", "full")
         runs.append(asked)
-        return data(asked, b"", "full" if asked.link == came[0].link and len(came) == 2 else "data")
+        if len(came) > 2:
+            return data(asked) + data(asked)
+        return data(asked, b"", "full" if asked.link == came[0].link else "data")
 
     async with trio.open_nursery() as nursery:
         boxes = await fleet(nursery, ORIGIN, answer=answer)
         async with platform(tmp_path, boxes) as doorman:
             status, _, _ = await doorman.ask("sheet-submit", body=b"signed")
             assert len(runs) == 1 and status == 200
+            await doorman.ask("sheet-submit", body=b"signed")  # answered twice, for nothing
+            await doorman.says(b"a box answers a second time")
         nursery.cancel_scope.cancel()
 
 
@@ -425,6 +429,7 @@
             assert (await doorman.ask())[0] == 200
             assert [asked.id for asked in edge.asked].count("2" * 16) == 0
             assert resident(doorman) - before < 1_000_000
+            assert doorman.said.count(b"sends on and on behind its request") == 1
         nursery.cancel_scope.cancel()
 
 
@@ -536,6 +541,8 @@
                         client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             assert (await doorman.ask(txn="3" * 16))[0] == 200
             assert [asked.id for box in boxes for asked in box.asked] == ["3" * 16]
+            assert (await doorman.ask("no-such-class"))[0] == 404
+            await doorman.says(b"a request that can't be served: no such class or object")
         nursery.cancel_scope.cancel()
 
 
