What follows from an attempt that ends at its turn no longer cuts another's bytes

Found in reading Link._flush again: the attempt in turn is asked once more whether it may go (time, drain, client), and if not, its end is told at once; what the core makes of that may be written on the same connection, within that call. If the connection took only a part of it, the outer call laid its own empty rest over it: the box got half a request and read the next one as its body. It needs a connection that was full, an attempt that ends in its queue and another chosen for the same box: rare, and as old as the queue.

The test fails before (the peer waits for 2 MB that never come) and passes with it.

--- a/brackenlane/net/depots.py
+++ b/brackenlane/net/depots.py
@@ -234,8 +234,11 @@
                 if not self._rest:
                     item = self._out.popleft()
                     if isinstance(item, Slot):
-                        self._rest = self._write(item)
+                        if rest := self._write(item):
+                            self._rest = rest
                         self._written()
+                        if self._stuck:  # by what came of an attempt that ended as its turn came
+                            return
                         continue
                     self._rest = memoryview(item)
                 self._rest = self._rest[self._sock.send(self._rest):]
@@ -255,6 +258,9 @@
     def _write(self, slot: Slot) -> memoryview:
         """Begin to write an attempt; what the connection did not take of it."""
         data = self._prepare(slot)
+        if data and self._rest:  # others went first meanwhile, as far as the connection took them
+            self._out.appendleft(slot)
+            return memoryview(b"")
         if not data or not self.open:
             return memoryview(b"")
         attempt = slot.attempt
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -12,6 +12,7 @@
 import signal
 import socket
 import struct
+import time
 from collections.abc import AsyncIterator, Callable, Iterator
 from dataclasses import dataclass
 from hashlib import blake2b
@@ -21,12 +22,15 @@
 import pytest
 import trio
 
-from brackenlane.core.core import Core
+from brackenlane.core.core import Ask, Attempt, Core
+from brackenlane.core.core import Reply as Reply_
+from brackenlane.core.fleet import Fleet
 from brackenlane.limits import Limits
 from brackenlane.net.board import Board
 from brackenlane.net.clients import Door, Waits
+from brackenlane.net.depots import ConnectionQuota, Link, Slot
 from brackenlane.observe.throttle import Throttle
-from frostsail.interface import RequestClass, Settings
+from frostsail.interface import Arrival, Fetch, ListKind, Member, Membership, RequestClass, Settings
 from tests.stand_ins import (
     SETTINGS, Asked, Box, Log, Program, Reply, data, free_port, platform, record, with_trio,
 )
@@ -709,3 +713,43 @@
             await client.send_all(request("2" * 16))
             assert (await client.receive_some(1000)).startswith(b"HTTP/1.1 200")
         nursery.cancel_scope.cancel()
+
+
+@with_trio
+async def test_an_attempt_that_ends_as_its_turn_comes_spoils_no_other() -> None:
+    """A connection takes bytes again: the next in turn is out of time, and what follows from that is written
+    there in part, in the midst of the turn. In one process, since the order is that of calls."""
+    settings = Settings("here", ("here",), (RequestClass("a", 0.5, 9.0, uncached=True),))
+    limits, board, fleet_, now = Limits(), Board(512), Fleet(settings), time.time()
+    fleet_.hear(Membership(ListKind.FULL, (Member("box", "here"),)), now)
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        mine = socket.socket()
+        mine.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+        mine.connect(listener.getsockname())
+        peer, _ = listener.accept()
+    mine.setblocking(False)
+    ended: list[str] = []
+
+    def slot(name: str, left: float, then: Callable[[], None] = lambda: None) -> Slot:
+        def report(attempt: Attempt, reply: Reply_) -> None:
+            attempt.reply = reply
+            ended.append(name)
+            then()
+
+        ask = Ask(Arrival(name, 9.0, "a", "thing", is_write=True), now + 9, name, body=name.encode() * 2_000_000)
+        return Slot(Attempt(ask, 0, Fetch(name, "box", left, "box"), now), report)
+
+    link = Link(mine, board, fleet_, limits, False, lambda _: None, lambda _: None, ConnectionQuota(9))
+    link.send(slot("x", 9.0))  # more than the connection takes at once
+    link.send(slot("y", -1.0, lambda: link.send(slot("z", 9.0))))
+    with peer:
+        peer.setblocking(False)
+        got = b""
+        while not got.endswith(b"z" * 2_000_000 + b"\r\n"):
+            with contextlib.suppress(BlockingIOError):
+                got += peer.recv(65_536)
+            board.turn()
+            assert time.time() < now + 8, f"{len(got)} bytes came"
+        assert ended == ["y"] and got.count(b"GET ") == 2
+        assert b"x" * 2_000_000 + b"\r\nGET z " in got
+    link.close()
