A flood while an answer is taken ends the connection too; an earlier Router gets no cold box

(2) A Router of settings no more in force gave boxes that it heard of later a cold budget of its own, beside the new one's.

--- a/brackenlane/core/core.py
+++ b/brackenlane/core/core.py
@@ -187,6 +187,7 @@
             obj, group = (key, -1) if isinstance(key, str) else ("", key)
             router.handle(Purged(obj, group, max(0.0, now - at)), now)
         # All that could fail is done. What the last one was still to send cold boxes is the new one's.
+        self._router.since = math.inf  # also those that it is yet to hear of
         for server in self._router.servers.values():
             server.tokens = Tokens(math.inf)
         self._earlier, self._router = [*self._earlier, self._router], router
--- a/brackenlane/net/clients.py
+++ b/brackenlane/net/clients.py
@@ -682,7 +682,7 @@
             self._answered()
 
     def _answered(self) -> None:
-        if self._close:
+        if self._close or self._flooded:  # a flood may also come while the answer is taken
             self._part()
         else:
             self._go_on()
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -736,7 +736,8 @@
             ended.append(name)
             then()
 
-        ask = Ask(Arrival(name, 9.0, "a", "thing", is_write=True), now + 9, name, body=name.encode() * 2_000_000)
+        body = name.encode() * 2_000_000
+        ask = Ask(Arrival(name, 9.0, "a", "thing", is_write=True), now + 9, name, body=body)
         return Slot(Attempt(ask, 0, Fetch(name, "box", left, "box"), now), report)
 
     link = Link(mine, board, fleet_, limits, False, lambda _: None, lambda _: None, ConnectionQuota(9))
@@ -753,3 +754,36 @@
         assert ended == ["y"] and got.count(b"GET ") == 2
         assert b"x" * 2_000_000 + b"\r\nGET z " in got
     link.close()
+
+
+@with_trio
+async def test_flood_while_an_answer_is_taken_is_no_next_request() -> None:
+    """What was let go of a flood leaves a gap: what comes behind it is not read on as if there were none.
+
+    In one process: the answer is larger than the connection takes at once."""
+    core = Core(Settings("here", ("here",), (RequestClass("a", 0.5, 1.0),)), 1, Limits(), lambda _: False)
+    board = Board(512)
+    door = Door(core, Limits(), board)
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        peer = socket.create_connection(listener.getsockname())
+        mine, _ = listener.accept()
+    with peer:
+        mine.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+        door._admit(mine)
+        [client] = door._waiting[Waits.FIRST]
+        client.wait(Waits.NOT)
+        client._room = Limits().head
+        client.answer((200, {}, bytes(8_000_000)))
+        assert client in door._waiting[Waits.TAKE]
+        peer.sendall(b"x" * 20_000)
+        peer.sendall(b"GET /-/healthy HTTP/1.1\r\nHost: a\r\n\r\n" * 1000)
+        peer.setblocking(False)
+        got, end, latest = b"", False, time.time() + 20
+        while not end:
+            assert time.time() < latest, f"{got.count(b'HTTP/1.1')} answers"
+            board.turn()
+            with contextlib.suppress(BlockingIOError):
+                more = peer.recv(1_000_000)
+                got, end = got + more, not more
+        assert got.count(b"HTTP/1.1") == 1 and len(got) > 8_000_000
+        door.board.remove(mine.fileno())
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -138,6 +138,9 @@
     assert not any(s.ejected_until for s in core._router.servers.values())
     assert core._router.purges.keys() == {"thing"}
     assert first.servers["box"].tokens.fill(now + 99, 5.0, 5.0) == 0.0
+    core.post(Membership(ListKind.CHANGES, (Member("new", "here", started_at=now),)))
+    assert first.servers["new"].tokens.fill(now + 99, 5.0, 5.0) == 0.0
+    assert core._router.servers["new"].tokens.fill(now + 99, 5.0, 5.0) == 5.0
     placed[0].written = True
     core.report(placed[0], Reply(Verdict.ERROR, 0.1))  # by the class of now it could be tried again
     assert len(placed) == 1 and ask.over and not core._earlier
