--- a/brackenlane/core/core.py
+++ b/brackenlane/core/core.py
@@ -190,7 +190,8 @@
         self._router.since = math.inf  # also those that it is yet to hear of
         for server in self._router.servers.values():
             server.tokens = Tokens(math.inf)
-        self._earlier, self._router = [*self._earlier, self._router], router
+        self._earlier = [r for r in (*self._earlier, self._router) if r.held or r.attempts]
+        self._router = router
         self.settings, self.limits, self._flow = settings, limits, flow
         self._classes = {c.name: c for c in settings.classes}
         self.fleet.adopt(settings)
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -144,6 +144,9 @@
     placed[0].written = True
     core.report(placed[0], Reply(Verdict.ERROR, 0.1))  # by the class of now it could be tried again
     assert len(placed) == 1 and ask.over and not core._earlier
+    for _ in range(9):  # with no request in hand, settings that follow one another leave nothing behind
+        core.adopt(core.settings, 1, Limits(), 0.0, None)
+    assert not core._earlier
 
 
 @with_trio
