--- a/review/lib/bench.py
+++ b/review/lib/bench.py
@@ -4,6 +4,7 @@
 
 import os
 import shutil
+import signal
 import socket
 import subprocess
 import sys
@@ -98,14 +99,26 @@
     raise CannotRunError(f"{what}: not within {seconds:.0f} s")
 
 
+async def _stop_on_sigterm() -> None:
+    """Wait for SIGTERM. Raises CannotRunError then, so that all that was started is ended."""
+    with trio.open_signal_receiver(signal.SIGTERM) as signals:
+        async for _ in signals:
+            raise CannotRunError("SIGTERM")
+
+
 def play(case: Path, script: Callable[[Bench, trio.Nursery], Awaitable[bool]]) -> None:
     """Play a case and exit: 0 if the rule held (the script returns True), 1 if it was broken, else 2."""
-    bench = Bench(case)
+    try:
+        bench = Bench(case)
+    except OSError as error:
+        print(f"the case cannot run: {error}", file=sys.stderr)
+        sys.exit(NOT_RUN)
     verdict = NOT_RUN
 
     async def bounded() -> bool:
         with trio.fail_after(MAX_SECONDS):
             async with trio.open_nursery() as nursery:
+                nursery.start_soon(_stop_on_sigterm)
                 held = await script(bench, nursery)
                 nursery.cancel_scope.cancel()
         return held
