--- a/review/1/case.py
+++ b/review/1/case.py
@@ -19,7 +19,7 @@
 
 
 async def script(bench: Bench, nursery: trio.Nursery) -> bool:
-    """Return whether the router went on. A request to a router that has ended was not taken, so it is noted."""
+    """Return whether the router went on. Requests that find no router were not taken: they are noted."""
     _, boxes = await open_boxes(bench, nursery, 2)
     resolver = await DnsServer().open(nursery)
     resolver.set_records(HOST, "A", "127.0.0.1", ttl=HOST_TTL)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -30,7 +30,7 @@
 
 
 async def script(bench: Bench, nursery: trio.Nursery) -> bool:
-    """Return whether the drain ordered with the store up was kept: by b in its answers, by a in all it sends."""
+    """Return whether the drain ordered with the store up was kept: by b in answers, by a in requests."""
     _, boxes = await open_boxes(bench, nursery, 4)
     store, port = await start_store(bench)
     routers = [Appliance(bench, name, boxes, redis_port=port) for name in ("a", "b")]
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -15,8 +15,8 @@
 from review.lib.site import read_objects
 
 SLOW_SECONDS = 1.8  # discovery sends nothing to the new process for so long
-# The pages: the order binds from the yes or 1 s after the call, what the log tells 2 s after the process's yes and
-# 4 s after the log's stop, whichever is latest; then nothing new later than 500 ms, 50 ms longer on sockets.
+# The pages: the order binds from the yes or 1 s after the call, what the log tells 2 s after the process's
+# yes and 4 s after the log's stop. From the latest: nothing new later than 500 ms, 50 ms longer on sockets.
 CALL_SECONDS = 1.0
 STOP_SECONDS = 4.0
 DRAIN_SECONDS = 0.5 + 0.05
