A look-up that cannot be asked or fails unexpectedly ends itself, not the program

Cause, two parts. The codec returned an alias to the root as an answer to follow, and the encoder of the next query raised EmptyLabel for it. The look-up runs in the program's own nursery without a handler, so any exception of one look-up ends all.

Now an alias to the root makes a reply unusable, like a loop of aliases: the last address is used on as stale. Names are parsed in one place (domain_names); one that is no domain name fails its look-up before a query is sent. Any other error of a look-up is logged with its traceback and fails that look-up alone.

--- a/brackenlane/discovery/errors.py
+++ b/brackenlane/discovery/errors.py
@@ -35,5 +35,9 @@
     """A snapshot with a wrong checksum or malformed content."""
 
 
+class InvalidNameError(DiscoveryError, ValueError):
+    """A text that is not the domain name of a host."""
+
+
 class IncompleteReplyError(DiscoveryError):
     """A TCP connection that an upstream closed before its reply was complete."""
--- a/brackenlane/discovery/query.py
+++ b/brackenlane/discovery/query.py
@@ -18,6 +18,7 @@
 import dns.rdatatype
 import dns.rrset
 
+from brackenlane.discovery.domain_names import parse_name, text_of
 from brackenlane.discovery.records import SrvRecord
 
 MAX_ALIASES = 8  # CNAME records followed in one look-up, whether in one reply or several
@@ -78,15 +79,18 @@
     reason: str = ""  # why the reply has no records
 
 
-def text_of(name: dns.name.Name) -> str:
-    """Return a name in lower case, without the trailing dot."""
-    return name.to_text(omit_final_dot=True).lower()
+def make_question(name: str, kind: RecordType) -> Question:
+    """Return the question for a name as a file, the store or a record spells it. Raises InvalidNameError."""
+    return Question(text_of(parse_name(name)), kind)
 
 
 def encode_query(question: Question, rng: random.Random, edns: bool) -> SentQuery:
-    """Return a query whose id and letter case are random, so that a spoofed reply has to guess both."""
+    """Return a query whose id and letter case are random, so that a spoofed reply has to guess both.
+
+    Raises InvalidNameError if the question's name is not a domain name.
+    """
     letters = [letter.upper() if rng.random() < 0.5 else letter for letter in question.name]
-    name = dns.name.from_text("".join(letters) + ".")
+    name = parse_name("".join(letters))
     message = dns.message.make_query(
         name, question.kind.value, use_edns=0 if edns else -1, payload=MAX_PAYLOAD, id=rng.getrandbits(16)
     )
@@ -151,6 +155,8 @@
         name = alias[0].target
         if name in seen or len(seen) > MAX_ALIASES:
             return Reply(ReplyKind.UNUSABLE, reason="a loop of aliases")
+        if name == dns.name.root:  # well-formed, but no host: there is nothing to look up next
+            return Reply(ReplyKind.UNUSABLE, reason="an alias to the root")
         seen.add(name)
     if message.rcode() == dns.rcode.NXDOMAIN or len(seen) == 1:
         return _read_absence(message, ttl)
--- a/brackenlane/discovery/resolver.py
+++ b/brackenlane/discovery/resolver.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import logging
 import random
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -15,7 +17,7 @@
 from brackenlane.config import Endpoint
 from brackenlane.discovery.dns_cache import AnswerCache, CachedAnswer, Lifetimes
 from brackenlane.discovery.dns_transport import query_tcp, query_udp
-from brackenlane.discovery.errors import DiscoveryError, IncompleteReplyError
+from brackenlane.discovery.errors import DiscoveryError, IncompleteReplyError, InvalidNameError
 from brackenlane.discovery.query import (
     MAX_ALIASES,
     Question,
@@ -24,10 +26,13 @@
     ReplyKind,
     SentQuery,
     encode_query,
+    make_question,
 )
 from brackenlane.discovery.records import SrvRecord
 from brackenlane.discovery.upstreams import Upstream, Upstreams, UpstreamTimeouts
 
+log = logging.getLogger(__name__)
+
 QUERY_ROUNDS = 2  # passes over all upstreams in one look-up
 MAX_QUERIES_PER_UPSTREAM = 3  # in one round: the first, one without EDNS, one over TCP
 TCP_TIMEOUT_FACTOR = 2  # opening the connection takes one more round trip
@@ -83,7 +88,10 @@
 
     async def look_up(self, name: str, kind: RecordType) -> LookUpResult:
         """Return the records of a name, with aliases followed. Raises LookUpFailedError without an answer."""
-        question = Question(name.rstrip(".").lower(), kind)
+        try:
+            question = make_question(name, kind)
+        except InvalidNameError as invalid:
+            raise LookUpFailedError(str(invalid)) from invalid
         for _ in range(MAX_ALIASES):
             answer, error = await self._answer(question)
             if not answer.reply.alias:
@@ -99,7 +107,8 @@
     def expire_addresses(self, name: str) -> None:
         """Expire the cached addresses of a name, which turned out to be wrong; they are queried again."""
         for kind in (RecordType.A, RecordType.AAAA):
-            self.cache.expire(Question(name.rstrip(".").lower(), kind), steady_time())
+            with contextlib.suppress(InvalidNameError):  # a name that cannot be looked up has no answers
+                self.cache.expire(make_question(name, kind), steady_time())
 
     async def _answer(self, question: Question) -> tuple[CachedAnswer, str]:
         """Return the answer to one question, and the error if it is a stale one. Does not follow aliases."""
@@ -129,6 +138,9 @@
         try:
             async with self._look_up_limiter:
                 pending.error = await self._query_upstreams(question)
+        except Exception as error:  # a failure of one look-up ends neither the others nor the program
+            log.exception("look-up of %s %s failed unexpectedly", question.name, question.kind.name)
+            pending.error = f"unexpected error: {type(error).__name__}"
         finally:
             del self._pending[question]
             if pending.error:
--- a/tests/test_resolver.py
+++ b/tests/test_resolver.py
@@ -328,3 +328,63 @@
         upstreams.record_failure(one, 5.0)
     assert upstreams.timeout(one) == 1.0
     assert one.backoff_until <= 13.0
+
+
+@with_trio
+async def test_alias_to_the_root_fails_one_look_up_only() -> None:
+    """Guards against: one answer `CNAME .` ended the appliance, as the root was then asked for."""
+    async with trio.open_nursery() as nursery:
+        server = await DnsServer().open(nursery)
+        server.set_records("box-2.test", "A", "127.0.1.2", ttl=1)
+        server.set_records("box-3.test", "A", "127.0.1.3")
+        resolver = create_resolver(nursery, server, min_ttl=0.1)
+        assert (await resolver.addresses("box-2.test")).addresses == ("127.0.1.2",)
+        server.set_records("box-2.test", "A")
+        server.set_records("box-2.test", "CNAME", ".", ttl=1)
+        await trio.sleep(1.1)
+        stale = await resolver.addresses("box-2.test")
+        assert stale.is_stale
+        assert stale.addresses == ("127.0.1.2",)  # the address in use is kept, as with any unusable answer
+        assert "an alias to the root" in stale.stale_reason
+        assert (await resolver.addresses("box-3.test")).addresses == ("127.0.1.3",)
+        nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize(
+    "name",
+    ["", ".", "box..test", ".test", "x" * 64 + ".test", "x." * 128, "\\999.test", "x\ud800.test"],
+)
+@with_trio
+async def test_text_that_is_no_domain_name_fails_one_look_up_only(name: str) -> None:
+    """Guards against: a host name that cannot be encoded, of any source, ended the program at its look-up."""
+    async with trio.open_nursery() as nursery:
+        server = await DnsServer().open(nursery)
+        server.set_records("box-3.test", "A", "127.0.1.3")
+        resolver = create_resolver(nursery, server)
+        with pytest.raises(LookUpFailedError):
+            await resolver.addresses(name)
+        resolver.expire_addresses(name)
+        assert (await resolver.addresses("box-3.test")).addresses == ("127.0.1.3",)
+        assert {query.name.lower().rstrip(".") for query in server.queries} == {"box-3.test"}
+        nursery.cancel_scope.cancel()
+
+
+@with_trio
+async def test_unexpected_error_fails_one_look_up_only(caplog: pytest.LogCaptureFixture) -> None:
+    """Guards against: any exception of a look-up ended the program, whose nursery runs all look-ups."""
+    async with trio.open_nursery() as nursery:
+        server = await DnsServer().open(nursery)
+        server.set_records("box-2.test", "A", "127.0.1.2")
+        server.set_records("box-3.test", "A", "127.0.1.3")
+        resolver = create_resolver(nursery, server, failure_ttl=0.01)
+        order = resolver.upstreams.order
+        resolver.upstreams.order = lambda now: [][0]  # type: ignore[method-assign]
+        with pytest.raises(LookUpFailedError, match="IndexError"):
+            await resolver.look_up("box-2.test", RecordType.A)
+        assert "box-2.test A failed unexpectedly" in caplog.text
+        assert "IndexError" in caplog.text
+        resolver.upstreams.order = order  # type: ignore[method-assign]
+        await trio.sleep(0.02)
+        for number in (2, 3):
+            assert (await resolver.addresses(f"box-{number}.test")).addresses == (f"127.0.1.{number}",)
+        nursery.cancel_scope.cancel()
