An accepted maintenance order holds where the cache is not listed yet

Cause: the new process read the order from the handover log and checked it like an operator's call; the check answers UNKNOWN for an unlisted cache, and the order was dropped, though the index of the log kept it (Handover._on_record, Maintenance).

Evidence: the case's record; a unit test of the order, the list and the report. Ruled out: the codec and the index (both keep the order).

Now checks are for orders received here; one that a process has accepted is applied as it is. The same cause on three related paths, each with a test that failed: - the limit of caches out of service dropped an accepted order as well; - a call back for an unlisted cache, or before a start of the process, lost that the cache counts as cold from then; also a later list undid it. The return is kept by Maintenance and by the log's index and its summary, in the records of before; - a call at one process right after one at the other was checked before the log was read: 200 and no effect.

--- a/brackenlane/ops/handover.py
+++ b/brackenlane/ops/handover.py
@@ -75,9 +75,9 @@
     def _on_record(self, record: HandoverRecord) -> None:
         match record:
             case MaintenanceEntered(server, at):
-                self._orders.carry_out(MaintenanceAction.ENTER, server, at)
+                self._orders.apply_accepted(MaintenanceAction.ENTER, server, at)
             case MaintenanceExited(server, at):
-                self._orders.carry_out(MaintenanceAction.EXIT, server, at)
+                self._orders.apply_accepted(MaintenanceAction.EXIT, server, at)
             case ProcessStarted() | ProcessServing():
                 self._update_state()
 
--- a/brackenlane/ops/handover_index.py
+++ b/brackenlane/ops/handover_index.py
@@ -4,6 +4,7 @@
 
 from collections import OrderedDict
 from collections.abc import Iterator
+from typing import NamedTuple
 
 from brackenlane.ops.handover_records import (
     HandoverRecord,
@@ -15,15 +16,25 @@
     SubmitReleased,
 )
 
+MAX_RETURNS = 1_024  # caches back in service that are kept; past it the earliest return is dropped
+
+
+class CacheReturn(NamedTuple):
+    """A cache was out of service from one Unix time to another; it may have been restarted meanwhile."""
+
+    entered_at: float
+    exited_at: float
+
 
 class HandoverIndex:
-    """Which processes serve, which caches are out of service, and which submits may have run."""
+    """Which processes serve, which caches are or were out of service, and which submits may have run."""
 
     def __init__(self, max_claims: int) -> None:
         """max_claims: number of claims that are kept; past it the oldest claim is dropped."""
         self._max_claims = max_claims
         self.is_serving: dict[str, bool] = {}  # whether each process serves, by process id in start order
         self.out_of_service: dict[str, float] = {}  # the Unix time of the order, by cache
+        self.returns: OrderedDict[str, CacheReturn] = OrderedDict()  # the latest return of each cache
         self.claims: OrderedDict[str, str] = OrderedDict()  # the process with the first claim, by request id
 
     def apply(self, record: HandoverRecord) -> None:
@@ -35,8 +46,8 @@
                 self.is_serving[process_id] = True
             case MaintenanceEntered(server, at):
                 self.out_of_service.setdefault(server, at)
-            case MaintenanceExited(server):
-                self.out_of_service.pop(server, None)
+            case MaintenanceExited(server, at):
+                self._exit(server, at)
             case SubmitClaimed(request_id, process_id):
                 self.claims.setdefault(request_id, process_id)
                 if len(self.claims) > self._max_claims:
@@ -44,6 +55,15 @@
             case SubmitReleased(request_id):
                 self.claims.pop(request_id, None)
 
+    def _exit(self, server: str, at: float) -> None:
+        entered_at = self.out_of_service.pop(server, None)
+        if entered_at is None:
+            return
+        self.returns.pop(server, None)
+        self.returns[server] = CacheReturn(entered_at, at)
+        if len(self.returns) > MAX_RETURNS:
+            self.returns.popitem(last=False)
+
     def remove_process(self, process_id: str) -> None:
         """Remove a terminated process; its claims are kept, since the submits may have run."""
         self.is_serving.pop(process_id, None)
@@ -54,6 +74,9 @@
             yield ProcessStarted(process_id)
             if is_serving:
                 yield ProcessServing(process_id)
+        for server, (entered_at, exited_at) in self.returns.items():
+            yield MaintenanceEntered(server, entered_at)
+            yield MaintenanceExited(server, exited_at)
         for server, at in self.out_of_service.items():
             yield MaintenanceEntered(server, at)
         for request_id, process_id in self.claims.items():
--- a/brackenlane/ops/maintenance.py
+++ b/brackenlane/ops/maintenance.py
@@ -6,11 +6,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections import OrderedDict
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 from enum import Enum
 from typing import NamedTuple
 
+from brackenlane.ops.handover_index import MAX_RETURNS, CacheReturn
 from brackenlane.routing.events import Membership, MembershipKind
 from brackenlane.routing.members import Member, ServerState
 
@@ -45,6 +47,8 @@
         self._max_out_of_service = max_out_of_service
         self.listed: dict[str, Member] = {}  # the caches that the change log lists, by id
         self.out_of_service: dict[str, float] = {}  # the Unix time of the order, by cache
+        # Caches back in service whose start since the order the change log has not reported; oldest first.
+        self._returns: OrderedDict[str, CacheReturn] = OrderedDict()
         self._is_excluded: Callable[[Member], bool] = lambda _: False
 
     def apply(self, event: Membership) -> Membership:
@@ -56,6 +60,9 @@
                 self.listed.pop(member.server, None)
             else:
                 self.listed[member.server] = member
+                cache_return = self._returns.get(member.server)
+                if cache_return and member.started_at >= cache_return.entered_at:
+                    del self._returns[member.server]  # the change log has reported the start
         return Membership(event.kind, tuple(self._as_reported(member) for member in event.members))
 
     def is_out_of_service(self, server: str) -> bool:
@@ -63,7 +70,10 @@
         return server in self.out_of_service
 
     def check(self, action: MaintenanceAction, server: str) -> MaintenanceResult | None:
-        """Return the result of an order that would change nothing; None for an order to be carried out."""
+        """Return the result of an operator's order that would change nothing; None for one to be accepted.
+
+        For orders received here only: one that another process has accepted is owed, whatever is listed here.
+        """
         is_listed = server in self.listed
         is_out = self.is_out_of_service(server)
         if action is MaintenanceAction.EXIT:
@@ -79,33 +89,38 @@
         return None
 
     def carry_out(self, action: MaintenanceAction, server: str, now: float) -> MaintenanceChange:
-        """Carry out an order; a repeated order changes nothing. now: the Unix time of the order."""
+        """Carry out an operator's order of a Unix time; a repeated order changes nothing."""
         result = self.check(action, server)
         if result is not None:
             return MaintenanceChange(result, None)
-        if action is MaintenanceAction.ENTER:
-            return self._enter(server, now)
-        return self._exit(server, now)
+        return MaintenanceChange(MaintenanceResult.DONE, self.apply_accepted(action, server, now))
 
-    def _enter(self, server: str, now: float) -> MaintenanceChange:
-        self.out_of_service[server] = now
-        return MaintenanceChange(MaintenanceResult.DONE, self._change_event([self.listed[server]]))
+    def apply_accepted(self, action: MaintenanceAction, server: str, at: float) -> Membership | None:
+        """Apply an order that a process of this router accepted at a Unix time; return the event, if any.
 
-    def _exit(self, server: str, now: float) -> MaintenanceChange:
-        """Put a cache back into service.
-
-        A cache may have been restarted during maintenance without the change log having reported it yet. So
-        unless the change log has reported a start since the order, the cache counts as started now, in slow
-        start.
+        The order holds for a cache that this process does not list yet: its change log may be behind that of
+        the process that accepted it. So it is neither checked nor limited in number here.
         """
-        since = self.out_of_service.pop(server)
+        if action is MaintenanceAction.ENTER:
+            self.out_of_service.setdefault(server, at)
+        elif server in self.out_of_service:
+            self._record_return(server, CacheReturn(self.out_of_service.pop(server), at))
+        else:
+            return None
         member = self.listed.get(server)
-        if member is None:  # not listed at present; the change log reports the start when it lists it again
-            return MaintenanceChange(MaintenanceResult.DONE, None)
-        started_at = member.started_at if member.started_at >= since else now
-        return MaintenanceChange(
-            MaintenanceResult.DONE, self._change_event([replace(member, started_at=started_at)])
-        )
+        return self._change_event([member]) if member else None
+
+    def restore(self, out_of_service: Mapping[str, float], returns: Mapping[str, CacheReturn]) -> None:
+        """Adopt the orders that earlier processes of this router have accepted."""
+        self.out_of_service.update(out_of_service)
+        for server, cache_return in returns.items():
+            self._record_return(server, cache_return)
+
+    def _record_return(self, server: str, cache_return: CacheReturn) -> None:
+        self._returns.pop(server, None)
+        self._returns[server] = cache_return
+        if len(self._returns) > MAX_RETURNS:
+            self._returns.popitem(last=False)
 
     def exclude(self, is_excluded: Callable[[Member], bool]) -> Membership:
         """Report the caches that the predicate selects as draining from now on; return the event for that."""
@@ -116,6 +131,15 @@
         return Membership(MembershipKind.CHANGES, tuple(self._as_reported(member) for member in members))
 
     def _as_reported(self, member: Member) -> Member:
+        """Return a cache as it is reported to the request engine.
+
+        A cache may have been restarted during maintenance without the change log having reported it yet. So
+        unless the change log has reported a start since the order, the cache counts as started when it was
+        put back into service, in slow start.
+        """
+        cache_return = self._returns.get(member.server)
+        if cache_return and member.started_at < cache_return.entered_at:
+            member = replace(member, started_at=cache_return.exited_at)
         if member.state is not ServerState.SERVING:
             return member
         if self.is_out_of_service(member.server) or self._is_excluded(member):
--- a/brackenlane/ops/maintenance_orders.py
+++ b/brackenlane/ops/maintenance_orders.py
@@ -31,7 +31,8 @@
         self._handover_log = handover_log
         self._maintenance = Maintenance(max_out_of_service)
         if handover_log:
-            self._maintenance.out_of_service.update(handover_log.index.out_of_service)
+            index = handover_log.index
+            self._maintenance.restore(index.out_of_service, index.returns)
 
     def on_event(self, event: Event) -> None:
         """Pass an event of the change log to the request engine, with caches in maintenance as draining."""
@@ -43,30 +44,31 @@
         """Carry out an operator's order; it is in force when this returns."""
         now = steady_time()
         if self._handover_log is None:
-            return self.carry_out(action, server, now)
-        result = self._maintenance.check(action, server)
-        if result is not None:
-            return result
+            change = self._maintenance.carry_out(action, server, now)
+            self._notify(change.event)
+            return change.result
         try:
+            # The order may refer to one that another process has just accepted.
+            self._handover_log.read_new_records()
+            result = self._maintenance.check(action, server)
+            if result is not None:
+                return result
             self._handover_log.append(_make_record(action, server, now))
-        except HandoverLogError as error:
+        except (HandoverLogError, OSError) as error:
             log.error("maintenance order for %s cannot be stored: %s", server, error)
             return MaintenanceResult.NOT_RECORDED
         return MaintenanceResult.DONE
 
-    def carry_out(self, action: MaintenanceAction, server: str, at: float) -> MaintenanceResult:
-        """Carry out an order that this or another process received at a Unix time."""
-        change = self._maintenance.carry_out(action, server, at)
-        if change.event:
-            self._notify(change.event)
-        return change.result
+    def apply_accepted(self, action: MaintenanceAction, server: str, at: float) -> None:
+        """Apply an order that this or another process of the router accepted at a Unix time."""
+        self._notify(self._maintenance.apply_accepted(action, server, at))
 
     def exclude(self, is_excluded: Callable[[Member], bool]) -> None:
         """Report the caches that the predicate selects as draining from now on."""
         self._notify(self._maintenance.exclude(is_excluded))
 
-    def _notify(self, event: Membership) -> None:
-        if event.members:
+    def _notify(self, event: Membership | None) -> None:
+        if event and event.members:
             # Applied immediately for attempts that are about to be written, and also posted, since the engine
             # may be in the middle of a decision.
             self._engine.membership.apply(event, steady_time())
--- a/tests/test_admin_api.py
+++ b/tests/test_admin_api.py
@@ -5,12 +5,16 @@
 import re
 import socket
 import time
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
 import trio
 
 from brackenlane.core.metrics import Gauges, RequestMetrics, expose
+from brackenlane.limits import Limits
+from brackenlane.ops.handover_log import HandoverLog
+from brackenlane.ops.handover_records import MaintenanceEntered, MaintenanceExited
 from brackenlane.ops.maintenance import Maintenance, MaintenanceAction, MaintenanceResult
 from brackenlane.routing.events import Membership, MembershipKind
 from brackenlane.routing.members import Member, ServerState
@@ -104,6 +108,42 @@
     assert reported(maintenance.carry_out(EXIT, "a", 50.0)[1]) == [("a", ServerState.SERVING, 44.0)]
 
 
+def test_accepted_orders_hold_for_unlisted_caches() -> None:
+    """Guards against: an order that another process accepted was lost where the cache was not listed yet."""
+    maintenance = Maintenance(max_out_of_service=1)
+    early, late = Member("a", "z", started_at=5.0), Member("a", "z", started_at=12.0)
+    for server in ("a", "b"):  # each process may have accepted one at the limit
+        assert maintenance.apply_accepted(ENTER, server, 10.0) is None
+    assert maintenance.check(ENTER, "a") is MaintenanceResult.DONE
+    [reported] = maintenance.apply(Membership(MembershipKind.CHANGES, (early,))).members
+    assert reported.state is ServerState.DRAINING
+    maintenance.apply(Membership(MembershipKind.CHANGES, (replace(early, state=ServerState.GONE),)))
+    assert maintenance.apply_accepted(EXIT, "a", 20.0) is None
+    assert maintenance.apply_accepted(EXIT, "a", 21.0) is None  # a repeated order changes nothing
+    # No start was reported since the order: the cache counts as started at its return, on every list.
+    for kind in (MembershipKind.CHANGES, MembershipKind.FULL):
+        [reported] = maintenance.apply(Membership(kind, (early,))).members
+        assert (reported.state, reported.started_at) == (ServerState.SERVING, 20.0)
+    [reported] = maintenance.apply(Membership(MembershipKind.CHANGES, (late,))).members
+    assert reported.started_at == 12.0
+
+
+def test_later_process_knows_of_a_return(tmp_path: Path) -> None:
+    """Guards against: a cache that was just put back counted as warm for a process that started after it."""
+    earlier = HandoverLog(tmp_path / "x", Limits())
+    earlier.append(MaintenanceEntered("a", 10.0))
+    earlier.append(MaintenanceExited("a", 20.0))
+    earlier.close()
+    for _ in range(2):  # the second process reads the summary that the first one wrote
+        log = HandoverLog(tmp_path / "x", Limits())
+        maintenance = Maintenance(max_out_of_service=1)
+        maintenance.restore(log.index.out_of_service, log.index.returns)
+        event = Membership(MembershipKind.FULL, (Member("a", "z", started_at=5.0),))
+        [reported] = maintenance.apply(event).members
+        assert (reported.state, reported.started_at) == (ServerState.SERVING, 20.0)
+        log.close()
+
+
 @pytest.mark.parametrize(
     ("raw", "status"),
     [
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -32,15 +32,17 @@
 from brackenlane.ops.handover_state import HandoverState, handover_state
 from tests.stand_ins import (
     CacheStandIn,
+    ChangeLogStandIn,
     ReceivedRequest,
     RouterProcess,
     ScriptedReply,
+    cache_as_record,
     data_reply,
     free_port,
     run_platform,
     with_trio,
 )
-from tests.test_admin_api import call_admin_api
+from tests.test_admin_api import call_admin_api, read_metrics
 
 EDGE, OTHER, ORIGIN = "s-00000001", "s-00000002", "s-00000009"
 READ_REQUEST = (
@@ -85,9 +87,10 @@
     """A log that is read in chunks of any size, and its summary, result in the same index."""
     index = build_index(b"".join(map(encode, records)), chunk_size)
     from_summary = build_index(b"".join(map(encode, index.summary())), chunk_size)
-    assert (index.is_serving, index.out_of_service, index.claims) == (
+    assert (index.is_serving, index.out_of_service, index.returns, index.claims) == (
         from_summary.is_serving,
         from_summary.out_of_service,
+        from_summary.returns,
         from_summary.claims,
     )
 
@@ -188,11 +191,21 @@
         (tmp_path / "shared").mkdir()
 
     @contextlib.asynccontextmanager
-    async def process(self) -> AsyncIterator[tuple[RouterProcess, int]]:
-        """Start another process at the same address; yield it and the port of its admin API."""
+    async def process(
+        self, log: ChangeLogStandIn | None = None, known: list[CacheStandIn] | None = None
+    ) -> AsyncIterator[tuple[RouterProcess, int]]:
+        """Start another process at the same address; yield it and the port of its admin API.
+
+        known: the caches of its configuration; None: all.
+        """
         admin_port = free_port()
         async with run_platform(
-            self.path, self.caches, ops_port=admin_port, port=self.port, TMPDIR=str(self.path / "shared")
+            self.path,
+            self.caches if known is None else known,
+            log,
+            ops_port=admin_port,
+            port=self.port,
+            TMPDIR=str(self.path / "shared"),
         ) as running:
             while (await call_admin_api(admin_port, "/status"))[0] != 200:
                 await trio.sleep(0.01)
@@ -341,6 +354,63 @@
                 await new.request_object(obj=os.urandom(8).hex())
 
 
+@pytest.mark.parametrize("is_repeated", [True, False])
+@with_trio
+async def test_order_holds_for_a_cache_that_the_new_process_hears_of_later(
+    tmp_path: Path, is_repeated: bool
+) -> None:
+    """Guards against: an order that one process took was dropped by one that did not list the cache yet."""
+    async with open_site(tmp_path) as site, trio.open_nursery() as nursery:
+        edge, *listed = site.caches
+        edge.model = "type-a"  # a kind that frames of the change log can name
+        old_log, new_log = [await ChangeLogStandIn().open(nursery) for _ in range(2)]
+        async with (
+            site.process(old_log, listed) as (old, old_admin_port),
+            site.process(new_log, listed) as (new, new_admin_port),
+        ):
+            await old_log.send_frame(2, 2, cache_as_record(edge, 0))
+            while (await call_admin_api(old_admin_port, f"/maintenance/enter/{EDGE}", "PUT"))[0] != 200:
+                await trio.sleep(0.02)
+            if is_repeated:  # at the process that does not list the cache
+                assert (await call_admin_api(new_admin_port, f"/maintenance/enter/{EDGE}", "PUT"))[0] == 200
+            old.process.kill()
+            await new.wait_for_log(b"is alone")
+            await new_log.send_frame(2, 2, cache_as_record(edge, 0))
+            await wait_for_pool_size(new_admin_port, 3)
+            before = len(edge.received)
+            for n in range(24):
+                assert (await new.request_object(obj=f"{n:016x}"))[0] == 200
+            assert len(edge.received) == before
+            assert (await call_admin_api(new_admin_port, f"/maintenance/exit/{EDGE}", "PUT"))[0] == 200
+            while len(edge.received) == before:
+                await new.request_object(obj=os.urandom(8).hex())
+        nursery.cancel_scope.cancel()
+
+
+@with_trio
+async def test_call_back_at_once_at_the_other_process_undoes_the_order(tmp_path: Path) -> None:
+    """Guards against: a process that had not read the other's order yet answered "done" and did nothing."""
+    async with (
+        open_site(tmp_path) as site,
+        site.process() as (_old, old_admin_port),
+        site.process() as (new, new_admin_port),
+    ):
+        for n in range(3):
+            assert (await call_admin_api(old_admin_port, f"/maintenance/enter/{EDGE}", "PUT"))[0] == 200
+            assert (await call_admin_api(new_admin_port, f"/maintenance/exit/{EDGE}", "PUT"))[0] == 200
+            await trio.sleep(0.1 * n)
+        for port in (old_admin_port, new_admin_port):
+            await trio.sleep(2 * Limits().handover_check_interval)
+            assert (await read_metrics(port))["gw_pool_ejected"] == 0
+        await new.request_object()
+
+
+async def wait_for_pool_size(admin_port: int, count: int) -> None:
+    """Wait until a process lists so many caches."""
+    while (await read_metrics(admin_port))["gw_pool_size"] != count:
+        await trio.sleep(0.02)
+
+
 @with_trio
 async def test_submit_runs_at_one_process(tmp_path: Path) -> None:
     """A submit that is sent to both processes, and to the next one after both were killed, runs once."""
