Handover log: returns of the last hour follow the summary, which is that of before

The summary is as it was; a rewrite of the file adds the returns of the last hour, in records that every version reads. An order that takes the cache out again ends its return.

--- a/brackenlane/ops/handover_index.py
+++ b/brackenlane/ops/handover_index.py
@@ -17,6 +17,7 @@
 )
 
 MAX_RETURNS = 1_024  # caches back in service that are kept; past it the earliest return is dropped
+RETURN_LIFETIME = 3_600.0  # seconds; longer than any slow start
 
 
 class CacheReturn(NamedTuple):
@@ -46,6 +47,7 @@
                 self.is_serving[process_id] = True
             case MaintenanceEntered(server, at):
                 self.out_of_service.setdefault(server, at)
+                self.returns.pop(server, None)
             case MaintenanceExited(server, at):
                 self._exit(server, at)
             case SubmitClaimed(request_id, process_id):
@@ -69,15 +71,19 @@
         self.is_serving.pop(process_id, None)
 
     def summary(self) -> Iterator[HandoverRecord]:
-        """Yield the smallest sequence of records that results in the same state."""
+        """Yield the smallest sequence of records that results in the same state, except for returns."""
         for process_id, is_serving in self.is_serving.items():
             yield ProcessStarted(process_id)
             if is_serving:
                 yield ProcessServing(process_id)
-        for server, (entered_at, exited_at) in self.returns.items():
-            yield MaintenanceEntered(server, entered_at)
-            yield MaintenanceExited(server, exited_at)
         for server, at in self.out_of_service.items():
             yield MaintenanceEntered(server, at)
         for request_id, process_id in self.claims.items():
             yield SubmitClaimed(request_id, process_id)
+
+    def recent_returns(self, now: float) -> Iterator[HandoverRecord]:
+        """Yield the records that result in the returns of the last RETURN_LIFETIME before a Unix time."""
+        for server, (entered_at, exited_at) in self.returns.items():
+            if exited_at > now - RETURN_LIFETIME:
+                yield MaintenanceEntered(server, entered_at)
+                yield MaintenanceExited(server, exited_at)
--- a/brackenlane/ops/handover_log.py
+++ b/brackenlane/ops/handover_log.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from brackenlane.clock import steady_time
 from brackenlane.limits import Limits
 from brackenlane.ops.handover_file import HandoverFile
 from brackenlane.ops.handover_index import HandoverIndex
@@ -63,7 +64,7 @@
         self._locks.delete_stale_files()
         # The file is rewritten without damaged, outdated and foreign lines, as no other process reads it.
         if not self.other_processes() and self._file.read_position > 0:
-            self._file.replace(self.index.summary())
+            self._rewrite_file()
         self.append(ProcessStarted(self.process_id))
 
     def other_processes(self) -> list[str]:
@@ -109,10 +110,14 @@
         try:
             with self._locks.start_lock(timeout=0.0) as is_locked:
                 if is_locked and not self.other_processes():
-                    self._file.replace(self.index.summary())
+                    self._rewrite_file()
         except OSError as error:
             log.warning("the handover log could not be rewritten: %s", error.strerror)
 
+    def _rewrite_file(self) -> None:
+        """Replace the file by the records that result in the index. Raises OSError."""
+        self._file.replace([*self.index.summary(), *self.index.recent_returns(steady_time())])
+
     def close(self) -> None:
         """Release the lock and close the file; the other processes detect that immediately."""
         self._locks.close()
--- a/brackenlane/ops/maintenance.py
+++ b/brackenlane/ops/maintenance.py
@@ -103,6 +103,7 @@
         """
         if action is MaintenanceAction.ENTER:
             self.out_of_service.setdefault(server, at)
+            self._returns.pop(server, None)
         elif server in self.out_of_service:
             self._record_return(server, CacheReturn(self.out_of_service.pop(server), at))
         else:
