--- a/brackenlane/appliance/program.py
+++ b/brackenlane/appliance/program.py
@@ -18,6 +18,7 @@
 from brackenlane.console.server import open_listener, serve_client
 from brackenlane.core.engine import RequestEngine
 from brackenlane.core.engine_config import EngineConfig
+from brackenlane.core.service_tasks import run_isolated, run_service
 from brackenlane.discovery.dns_source import DnsSource
 from brackenlane.discovery.merge import MembershipMerge
 from brackenlane.discovery.registry import Registry
@@ -73,7 +74,7 @@
     """Run the DNS and HTTP fronts until SIGTERM, then finish the open requests. Raises ConfigError."""
     async with trio.open_nursery() as nursery:
         components = build_serving_components(config, limits)
-        nursery.start_soon(components.engine.run)
+        nursery.start_soon(run_service, "timers", components.engine.run)
         nursery.start_soon(components.poller.run)
         bootstrap = RegistryBootstrap(config, components.registry, components.phases)
         bootstrap.fill_registry()
@@ -89,7 +90,7 @@
         await serve_until_signal(front, config.http, config.name)
         config.console.unlink(missing_ok=True)
         if snapshot_writer:
-            await snapshot_writer.write(is_shutdown=True)
+            await snapshot_writer.write_last()
         nursery.cancel_scope.cancel()
 
 
@@ -135,7 +136,7 @@
         other_routers / config.coldstart.look_ups,
     )
     components.observer.dns_source = dns_source
-    nursery.start_soon(dns_source.run)
+    nursery.start_soon(run_isolated, "discovery", dns_source.run)
 
 
 def start_store(
@@ -169,8 +170,8 @@
     )
     if loaded_snapshot:
         store.applier.restore_purges({(obj, group): at for obj, group, at in loaded_snapshot.purges})
-    nursery.start_soon(store.run, list(config.discovery.caches))
-    nursery.start_soon(bootstrap.fall_back_without_store, limits)
+    nursery.start_soon(run_service, "shared store", store.run, list(config.discovery.caches))
+    nursery.start_soon(run_service, "start without store", bootstrap.fall_back_without_store, limits)
     return store
 
 
@@ -186,7 +187,7 @@
     if path is None:
         return None
     writer = SnapshotWriter(components.registry, path, limits.snapshot_interval, store)
-    nursery.start_soon(writer.run)
+    nursery.start_soon(run_service, "snapshot", writer.run)
     return writer
 
 
@@ -198,8 +199,12 @@
     server = Server(responder, limits)
     listeners = await listen(config.dns)
     sock = await _bind_udp(config.dns)
-    nursery.start_soon(server.serve_udp, sock)
-    nursery.start_soon(trio.serve_listeners, server.serve_tcp, listeners)
+    nursery.start_soon(run_service, "DNS over UDP", server.serve_udp, sock)
+
+    async def serve_tcp(stream: trio.SocketStream) -> None:
+        await run_isolated("DNS connection", server.serve_tcp, stream)
+
+    nursery.start_soon(trio.serve_listeners, serve_tcp, listeners)
 
 
 async def _bind_udp(endpoint: Endpoint) -> trio.socket.SocketType:
@@ -229,6 +234,6 @@
     console = AdminConsole(config.name, sources)
 
     async def serve_one(stream: trio.SocketStream) -> None:
-        await serve_client(stream, console.execute, limits)
+        await run_isolated("console connection", serve_client, stream, console.execute, limits)
 
     nursery.start_soon(trio.serve_listeners, serve_one, [open_listener(config.console)])
--- a/brackenlane/appliance/startup.py
+++ b/brackenlane/appliance/startup.py
@@ -19,12 +19,10 @@
 from brackenlane.discovery.registry import Registry
 from brackenlane.discovery.snapshot_codec import Snapshot
 from brackenlane.limits import Limits
+from brackenlane.store.event_codec import MAX_GROUP, NO_GROUP
 
 log = logging.getLogger(__name__)
 
-GROUP_COUNT = 256  # number of object groups; they are numbered from 0
-NO_GROUP = -1  # group number of objects that belong to no group
-
 
 class RegistryBootstrap:
     """Loads the snapshot of one router and fills the registry at startup.
@@ -66,7 +64,7 @@
         # The purges that were ordered while this router was down are unknown, so every object is treated as
         # purged until the caches have dropped purged copies by themselves (purge_propagation_time).
         log.warning("the store has not answered yet: no copy from before now is served")
-        for group in range(NO_GROUP, GROUP_COUNT):
+        for group in range(NO_GROUP, MAX_GROUP + 1):
             self._registry.purge("", group, steady_time())
         if self.loaded_snapshot is None or self.is_snapshot_trusted:
             return
--- a/brackenlane/console/admin_console.py
+++ b/brackenlane/console/admin_console.py
@@ -10,7 +10,7 @@
 from brackenlane.console import views
 from brackenlane.console.cache_health import CacheHealth
 from brackenlane.discovery.registry import Registry
-from brackenlane.store.event_codec import OrderGiven, PurgeRequested, StoreEvent
+from brackenlane.store.event_codec import MAX_GROUP, NO_GROUP, OrderGiven, PurgeRequested, StoreEvent
 from brackenlane.store.shared_store import SharedStore
 
 HELP = """boxes               list the boxes with state and health; boxes -v: who names them, and why
@@ -24,8 +24,6 @@
 help                this text
 quit                leave
 """
-GROUP_COUNT = 256  # number of object groups; they are numbered from 0
-NO_GROUP = -1  # group number in a purge of a single object
 MAX_SHOWN_COMMAND = 60  # characters; an unknown command is truncated to them in the answer
 
 
@@ -120,7 +118,7 @@
 
 
 def _is_group(text: str) -> bool:
-    return text.isascii() and text.isdigit() and int(text) < GROUP_COUNT
+    return text.isascii() and text.isdigit() and int(text) <= MAX_GROUP
 
 
 def _unknown_cache(cache_id: str) -> str:
--- a/brackenlane/discovery/dns_source.py
+++ b/brackenlane/discovery/dns_source.py
@@ -9,6 +9,7 @@
 import trio
 
 from brackenlane.clock import steady_time
+from brackenlane.core.service_tasks import run_service
 from brackenlane.discovery.address_probe import AddressProbe
 from brackenlane.discovery.look_up_schedule import LookUpSchedule
 from brackenlane.discovery.query import RecordType
@@ -63,8 +64,12 @@
     async def run(self) -> None:
         """Run all look-ups until cancelled."""
         for srv in self._merge.entries:
-            self._nursery.start_soon(self._watch_srv, srv)
+            self._nursery.start_soon(run_service, f"look-up of {srv}", self._watch_srv, srv)
         self._on_change()
+        await run_service("list of caches", self._run_timers)
+
+    async def _run_timers(self) -> None:
+        """Apply what is due in the merge, until cancelled."""
         while True:
             with trio.move_on_after(max(0.0, self._merge.next_due() - steady_time())):
                 await self._merge_changed.wait()
@@ -93,7 +98,7 @@
         self._merge_changed.set()
         for host in self._merge.sources.hosts - self._hosts.keys():
             self._hosts[host] = HostWatch()
-            self._nursery.start_soon(self._watch_host, host)
+            self._nursery.start_soon(run_service, f"look-up of {host}", self._watch_host, host)
 
     async def _watch_srv(self, srv: str) -> None:
         """Look up one SRV entry again each time its answer expires."""
@@ -113,7 +118,7 @@
 
     async def _watch_host(self, host: str) -> None:
         """Look up one host name again on expiry or `refresh`, until no definition refers to it."""
-        watch = self._hosts[host]
+        watch = self._hosts.setdefault(host, HostWatch())
         await self._wait_for_turn(host)
         while host in self._merge.sources.hosts:
             wait = await self._look_up_host(host, watch)
@@ -124,7 +129,7 @@
                 not_before = watch.looked_up_at + self._min_interval
                 await trio.sleep(max(0.0, not_before - steady_time()))
             watch.refresh = trio.Event()
-        del self._hosts[host]
+        self._hosts.pop(host, None)
         self._merge.sources.discard_unnamed_host(host)
 
     async def _wait_for_turn(self, name: str) -> None:
--- a/brackenlane/discovery/snapshot.py
+++ b/brackenlane/discovery/snapshot.py
@@ -105,8 +105,17 @@
                     "snapshot %s not written: %s; next attempt in %.1f s", self._path, error, self._interval
                 )
                 self._changed.set()
+            except Exception:  # a value that cannot be encoded must not end the program
+                log.exception("snapshot %s cannot be encoded", self._path)
             await trio.sleep(self._interval)
 
+    async def write_last(self) -> None:
+        """Write the state at a graceful shutdown; a failure is logged, and the last snapshot remains."""
+        try:
+            await self.write(is_shutdown=True)
+        except Exception:
+            log.exception("snapshot %s not written at the shutdown", self._path)
+
     async def write(self, is_shutdown: bool = False) -> None:
         """Write the state if it changed since the last write; `is_shutdown`: at a graceful shutdown."""
         snapshot = Snapshot(self._registry.merge.snapshot_content(), 0.0, is_shutdown=is_shutdown)
--- a/brackenlane/lab/stand_ins/redis.py
+++ b/brackenlane/lab/stand_ins/redis.py
@@ -65,9 +65,11 @@
     def order(self, zone: str, order: dict[str, Any]) -> None:
         """Write an order of drain or restore, as another router would."""
         self._write(f"brackenlane:{zone}:orders", order["id"], orjson.dumps(order).decode())
-        self._append_entry(
-            f"brackenlane:{zone}:events", 10_000, ["event", orjson.dumps({"order": order}).decode()]
-        )
+        self.add_event(zone, orjson.dumps({"order": order}).decode())
+
+    def add_event(self, zone: str, text: str) -> None:
+        """Add an event to the stream, in whatever form another program may give it."""
+        self._append_entry(f"brackenlane:{zone}:events", 10_000, ["event", text])
 
     def _queue_work(self, cost: float) -> float:
         """Queue work of `cost` seconds behind all accepted work; return the seconds until it is done."""
--- a/brackenlane/net/connector.py
+++ b/brackenlane/net/connector.py
@@ -87,7 +87,7 @@
             self._is_finished = True
             self._on_end(self, None)
             return
-        error_number = self._sock.connect_ex(self.endpoint)
+        error_number = self._begin_connect()
         if error_number not in CONNECT_BEGUN:
             self.had_local_shortage = is_shortage(error_number)
             self._finish(None)
@@ -99,6 +99,14 @@
             self.had_local_shortage = True
             self._finish(None)
 
+    def _begin_connect(self) -> int:
+        """Begin to connect; return the error number of connect(2)."""
+        try:
+            return self._sock.connect_ex(self.endpoint)
+        except OSError as error:  # the address names no interface of this machine (RFC 4007, 11)
+            log.warning("cannot connect to %s, port %d: %s", *self.endpoint, error.strerror)
+            return errno.EADDRNOTAVAIL
+
     def cancel(self) -> None:
         """Abandon the attempt; `on_end` is not called."""
         if not self._is_finished:
--- a/brackenlane/net/request_intake.py
+++ b/brackenlane/net/request_intake.py
@@ -15,6 +15,7 @@
 from brackenlane.core.claims import ClaimResult, ClaimStore
 from brackenlane.core.engine import RequestEngine
 from brackenlane.core.requests import Answer, Disposition, PendingRequest
+from brackenlane.core.service_tasks import run_isolated
 from brackenlane.net.answer_encoder import AnswerEncoder
 from brackenlane.net.client_connection import ClientConnection
 from brackenlane.net.front_context import FrontContext
@@ -123,7 +124,9 @@
         request.is_client_connected = client.is_client_connected
         request.on_answer = functools.partial(self._answer, client, request)
         if self._claims and self._nursery and request.must_run_once:
-            self._nursery.start_soon(self._claim_and_submit, client, request, self._claims)
+            self._nursery.start_soon(
+                run_isolated, "submit", self._claim_and_submit, client, request, self._claims
+            )
         else:
             self._core.submit(request)
 
@@ -131,7 +134,7 @@
         self, client: ClientConnection, request: PendingRequest, claims: ClaimStore
     ) -> None:
         """Submit a write that other routers may also receive, after claiming it in the shared store."""
-        claim = await claims.claim(request.client_request_id)
+        claim = await self._claim(request.client_request_id, claims)
         if client.request is not request:
             return  # the client has disconnected; its claim is kept as if the write had run, which is safe
         time_left = request.deadline - steady_time()
@@ -147,11 +150,20 @@
         request.on_answer = functools.partial(self._answer_claimed, client, request, claims)
         self._core.submit(request)
 
+    @staticmethod
+    async def _claim(request_id: str, claims: ClaimStore) -> ClaimResult:
+        """Claim a write in the shared store; an unexpected error counts as an unknown result."""
+        try:
+            return await claims.claim(request_id)
+        except Exception:  # the client needs an answer, and the program goes on
+            log.exception("claim of submit %s failed, it is rejected", request_id)
+            return ClaimResult.UNKNOWN
+
     def _answer_claimed(
         self, client: ClientConnection, request: PendingRequest, claims: ClaimStore, answer: Answer
     ) -> None:
         if answer.disposition is Disposition.REJECTED and self._nursery:
-            self._nursery.start_soon(claims.release, request.client_request_id)
+            self._nursery.start_soon(run_isolated, "release", claims.release, request.client_request_id)
         self._answer(client, request, answer)
 
     def _reject(self, client: ClientConnection, request: PendingRequest) -> None:
--- a/brackenlane/store/event_applier.py
+++ b/brackenlane/store/event_applier.py
@@ -15,6 +15,7 @@
     CacheDefined,
     OrderGiven,
     PurgeRequested,
+    StoreEvent,
     StreamEntry,
     decode_cache,
     decode_event,
@@ -75,13 +76,19 @@
         except StoreDataError as error:
             log.warning("event %s cannot be decoded, skipped: %s", entry.position, error)
             return
+        try:
+            self._apply_event(event, entry.position)
+        except Exception:  # one event must not hide those after it, which may be drains and purges
+            log.exception("event %s cannot be applied, skipped", entry.position)
+
+    def _apply_event(self, event: StoreEvent | None, position: StreamPosition) -> None:
         match event:
             case CacheDefined():
                 self._apply_cache(event)
             case OrderGiven():
                 self._apply_order(event)
             case PurgeRequested():
-                self._apply_purge(event, entry.position)
+                self._apply_purge(event, position)
 
     def apply_entry_if_purge(self, entry: StreamEntry) -> None:
         """Apply an entry of the stream if it is a purge; a full load has read all other changes already."""
--- a/brackenlane/store/event_codec.py
+++ b/brackenlane/store/event_codec.py
@@ -17,6 +17,9 @@
 from brackenlane.discovery.records import CacheDefinition, OperatorOrder
 from brackenlane.store.errors import StoreDataError
 
+NO_GROUP = -1  # group number in a purge of a single object
+MAX_GROUP = 255  # groups of objects are numbered from 0
+MAX_OBJECT_LENGTH = 1_024  # characters
 EVENT_FIELD = "event"  # the field of a stream entry that contains the encoded event
 
 
@@ -156,6 +159,10 @@
 
 def _decode_purge(value: Any) -> PurgeRequested:
     try:
-        return PurgeRequested(str(value["object"]), int(value["group"]))
+        purge = PurgeRequested(str(value["object"]), int(value["group"]))
     except (KeyError, TypeError, ValueError) as error:
         raise StoreDataError(f"purge {value!r}: {type(error).__name__}: {error}") from error
+    # Purges are kept in the snapshot, which must stay readable and small.
+    if not NO_GROUP <= purge.group <= MAX_GROUP or len(purge.obj) > MAX_OBJECT_LENGTH:
+        raise StoreDataError(f"purge {value!r}: the group or the object is out of range")
+    return purge
--- a/brackenlane/store/shared_store.py
+++ b/brackenlane/store/shared_store.py
@@ -119,7 +119,11 @@
             await trio.sleep(delay)
 
     async def _follow_until_failure(self, registration: FileRegistration) -> Exception:
-        """Catch up, then follow and repair the store concurrently; return the StoreError that ended this."""
+        """Catch up, then follow and repair the store concurrently; return the error that ended this.
+
+        An error other than a StoreError is a reply that this version cannot handle; it is logged with its
+        traceback, and the store counts as unavailable.
+        """
         failures: list[Exception] = []
         try:
             async with trio.open_nursery() as nursery:
@@ -131,6 +135,9 @@
                     await self.replica.follow(self._limits.store_block_time)
         except* StoreError as group:
             failures.extend(group.exceptions)
+        except* Exception as group:
+            log.exception("the store's reply cannot be handled")
+            failures.extend(group.exceptions)
         return failures[0]
 
     async def _catch_up(self, registration: FileRegistration) -> None:
