--- a/brackenlane/discovery/snapshot_codec.py
+++ b/brackenlane/discovery/snapshot_codec.py
@@ -6,16 +6,27 @@
 from __future__ import annotations
 
 import hashlib
+import logging
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, TypeVar
 
 import orjson
 
 from brackenlane.coldstart.stream_position import STREAM_START, StreamPosition
 from brackenlane.discovery.definition_codec import encode_definition, read_definition
-from brackenlane.discovery.errors import SnapshotCorruptError, SnapshotError, SnapshotVersionError
-from brackenlane.discovery.order_codec import encode_order, read_order
-from brackenlane.discovery.records import PersistedMembership
+from brackenlane.discovery.errors import (
+    SnapshotCorruptError,
+    SnapshotError,
+    SnapshotVersionError,
+    StoredFormError,
+)
+from brackenlane.discovery.order_codec import encode_order, read_own_order
+from brackenlane.discovery.records import PersistedMembership, ip_address_of
+
+log = logging.getLogger(__name__)
+
+Entry = TypeVar("Entry")
 
 VERSION = 2
 # Version 1 has no stream position, purges or shutdown flag.
@@ -99,13 +110,30 @@
 
 
 def _read_members(document: dict[str, Any]) -> PersistedMembership:
+    """Return the members of a document whose checksum is right, so that a router has written it.
+
+    An entry that is out of bounds, as an earlier version may have taken it, is skipped: the drains beside it
+    have to hold.
+    """
     srv_members = {
-        str(srv): tuple(read_definition(raw) for raw in definitions)
+        str(srv): tuple(_read_each(read_definition, definitions))
         for srv, definitions in document["listed"].items()
     }
     return PersistedMembership(
-        tuple(read_definition(raw) for raw in document["others"]),
+        tuple(_read_each(read_definition, document["others"])),
         srv_members,
-        {str(host): str(address) for host, address in document["places"].items()},
-        dict(read_order(raw) for raw in document["orders"]),
+        {
+            str(host): address
+            for host, text in document["places"].items()
+            if (address := ip_address_of(str(text))) is not None
+        },
+        dict(_read_each(read_own_order, document["orders"])),
     )
+
+
+def _read_each(read: Callable[[Any], Entry], raw_entries: Iterable[Any]) -> Iterator[Entry]:
+    for raw in raw_entries:
+        try:
+            yield read(raw)
+        except StoredFormError as error:
+            log.warning("entry of the snapshot skipped: %s", error)
--- a/brackenlane/store/idempotency_claims.py
+++ b/brackenlane/store/idempotency_claims.py
@@ -11,6 +11,10 @@
 
 log = logging.getLogger(__name__)
 
+# Replies to SET with NX.
+CLAIMED = "OK"
+ALREADY_CLAIMED = None
+
 
 class RedisClaimStore:
     """Claims submits for one router. Implements `core.claims.ClaimStore`."""
@@ -31,7 +35,10 @@
         except StoreError as error:
             log.warning("claim of submit %s failed, it is rejected: %s", txn, error)
             return ClaimResult.UNKNOWN
-        return ClaimResult.OURS if reply == "OK" else ClaimResult.TAKEN
+        if reply not in (CLAIMED, ALREADY_CLAIMED):
+            log.warning("claim of submit %s answered by %r, it is rejected", txn, reply)
+            return ClaimResult.UNKNOWN
+        return ClaimResult.OURS if reply == CLAIMED else ClaimResult.TAKEN
 
     async def release(self, txn: str) -> None:
         """Release the claim of a submit that provably never ran, so that a client may send it again."""
--- a/brackenlane/store/reader.py
+++ b/brackenlane/store/reader.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator, Sequence
+import contextlib
+from collections.abc import AsyncIterator, Generator, Sequence
 from dataclasses import dataclass
 
 from brackenlane.coldstart.stream_position import STREAM_START, StreamPosition
 from brackenlane.limits import Limits
 from brackenlane.store.connection import Command, Connection
+from brackenlane.store.errors import StoreDataError
 from brackenlane.store.event_codec import StreamEntry, parse_entries
 from brackenlane.store.keys import StoreKeys
 
@@ -27,6 +29,15 @@
     order_texts: list[str | None]  # the encoded order of each requested cache, or None
 
 
+@contextlib.contextmanager
+def checked_reply(command: str) -> Generator[None, None, None]:
+    """Raise StoreDataError if the code in the block cannot handle the reply to a command."""
+    try:
+        yield
+    except (TypeError, ValueError, LookupError) as error:
+        raise StoreDataError(f"reply to {command}: {type(error).__name__}: {error}") from error
+
+
 class StoreReader:
     """Reads the store over one connection, without state of its own. All methods raise StoreError."""
 
@@ -51,16 +62,17 @@
         if ids:
             commands.append(["HMGET", self._keys.orders, *ids])
         replies = await self._connection.call(*commands)
-        capacity_hint, registration = replies[1]
-        seconds, microseconds = replies[2]
-        return StoreState(
-            parse_entries(replies[0]),
-            capacity_hint,
-            registration,
-            int(seconds),
-            int(microseconds),
-            replies[3] if ids else [],
-        )
+        with checked_reply("XRANGE, MGET, TIME and HMGET"):
+            capacity_hint, registration = replies[1]
+            seconds, microseconds = replies[2]
+            return StoreState(
+                parse_entries(replies[0]),
+                capacity_hint,
+                registration,
+                int(seconds),
+                int(microseconds),
+                list(replies[3]) if ids else [],
+            )
 
     async def read_following_pages(self, page: list[StreamEntry]) -> list[StreamEntry]:
         """Return the entries after a page of entries; an empty list if the page was not full."""
@@ -77,20 +89,23 @@
             ["XREAD", "COUNT", self._page_size, *block_option, "STREAMS", self._keys.events, str(position)],
             time_limit=block + self._timeout,
         )
-        return [entry for _, entries in streams or () for entry in parse_entries(entries)]
+        with checked_reply("XREAD"):
+            return [entry for _, entries in streams or () for entry in parse_entries(entries)]
 
     async def read_newest_position(self) -> StreamPosition:
         """Return the position of the newest entry; STREAM_START if the stream is empty."""
         [reply] = await self._connection.call(
             ["XREVRANGE", self._keys.events, STREAM_END, FIRST_ID, "COUNT", 1]
         )
-        entries = parse_entries(reply)
+        with checked_reply("XREVRANGE"):
+            entries = parse_entries(reply)
         return entries[0].position if entries else STREAM_START
 
     async def read_entries_from(self, position: StreamPosition) -> list[StreamEntry]:
         """Return all entries from a position on, inclusive."""
         [reply] = await self._connection.call(["XRANGE", self._keys.events, str(position), STREAM_END])
-        return parse_entries(reply)
+        with checked_reply("XRANGE"):
+            return parse_entries(reply)
 
     def scan_orders(self) -> AsyncIterator[str]:
         """Yield the encoded orders, page by page; an order that changes during the scan may appear twice."""
@@ -103,10 +118,11 @@
     async def _scan_values(self, key: str) -> AsyncIterator[str]:
         cursor = "0"
         while True:
-            [(cursor, names_and_values)] = await self._connection.call(
-                ["HSCAN", key, cursor, "COUNT", self._page_size]
-            )
-            for value in names_and_values[1::2]:
+            [reply] = await self._connection.call(["HSCAN", key, cursor, "COUNT", self._page_size])
+            with checked_reply("HSCAN"):
+                cursor, names_and_values = reply
+                values = names_and_values[1::2]
+            for value in values:
                 yield value
             if str(cursor) == "0":
                 return
