SIGHUP: an unexpected error of the change log's client is that of the reload

The last part of a reload ran outside its handler: an error there, as that of an address of an unknown interface before, left the task and ended the program. It is logged with its cause; the configuration does not count as applied, so the next SIGHUP applies the file again.

--- a/brackenlane/platform_router.py
+++ b/brackenlane/platform_router.py
@@ -228,7 +228,11 @@
         except Exception:  # an unexpected error must not affect requests in flight
             log.exception("SIGHUP: the old configuration remains in force")
             return
-        self._update_change_log(new, known)
+        try:
+            self._update_change_log(new, known)
+        except Exception:  # the program goes on; the next SIGHUP applies the file again
+            log.exception("SIGHUP: the change log cannot be read from its new address")
+            return
         self._config = new
 
     def _check_addresses(self, new: Config) -> None:
--- a/tests/test_service_tasks.py
+++ b/tests/test_service_tasks.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
+from typing import cast
+
 import pytest
 import trio
 import trio.testing
 
 from brackenlane.core.service_tasks import run_isolated, run_service
-from tests.stand_ins import with_trio
+from brackenlane.platform_router import Reloader, RouterParts, load_config
+from tests.stand_ins import ROOT, with_trio
 
 
 @with_trio
@@ -53,6 +57,20 @@
     assert "a poor value" in caplog.text
 
 
+def test_failure_at_a_reload_is_that_of_the_reload(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against: an error of the change log's client at SIGHUP ended the program."""
+    monkeypatch.setenv("GW_CONFIG", str(ROOT / "example" / "config.json"))
+
+    def fail(_: object) -> None:
+        raise LookupError("the cause")
+
+    parts = SimpleNamespace(change_log=SimpleNamespace(move=fail))
+    Reloader(load_config(), cast(RouterParts, parts)).reload()
+    assert "the cause" in caplog.text
+
+
 @with_trio
 async def test_cancelled_service_ends() -> None:
     """Guards against: a service that takes the cancellation at the end of the program for a failure."""
