Returns of caches: one module for the rule that stood in two; texts reworded

Maintenance and the index of the handover log kept the returns by the same code. No behaviour changes.

--- a/brackenlane/discovery/domain_names.py
+++ b/brackenlane/discovery/domain_names.py
@@ -16,7 +16,7 @@
 def parse_name(text: str) -> dns.name.Name:
     """Return the absolute name of a text, with or without the trailing dot (RFC 1035, 5.1; IDNA).
 
-    Raises InvalidNameError if the text is no name that a host can have; the root of the DNS is none.
+    Raises InvalidNameError if the text is not the name of a host; the root of the DNS is not one either.
     """
     try:
         name = dns.name.from_text(text if text.endswith(".") else f"{text}.")
--- a/brackenlane/discovery/resolver.py
+++ b/brackenlane/discovery/resolver.py
@@ -138,7 +138,7 @@
         try:
             async with self._look_up_limiter:
                 pending.error = await self._query_upstreams(question)
-        except Exception as error:  # a failure of one look-up ends neither the others nor the program
+        except Exception as error:  # a failure of one look-up must not end the others or the program
             log.exception("look-up of %s %s failed unexpectedly", question.name, question.kind.name)
             pending.error = f"unexpected error: {type(error).__name__}"
         finally:
--- a/brackenlane/discovery/snapshot_codec.py
+++ b/brackenlane/discovery/snapshot_codec.py
@@ -112,8 +112,8 @@
 def _read_members(document: dict[str, Any]) -> PersistedMembership:
     """Return the members of a document whose checksum is right, so that a router has written it.
 
-    An entry that is out of bounds, as an earlier version may have taken it, is skipped: the drains beside it
-    have to hold.
+    An earlier version may have accepted an entry that is out of bounds now. It is skipped, so that the drains
+    in the same document hold.
     """
     srv_members = {
         str(srv): tuple(_read_each(read_definition, definitions))
--- a/brackenlane/ops/handover_index.py
+++ b/brackenlane/ops/handover_index.py
@@ -4,8 +4,8 @@
 
 from collections import OrderedDict
 from collections.abc import Iterator
-from typing import NamedTuple
 
+from brackenlane.ops.cache_returns import RETURN_LIFETIME, CacheReturn, CacheReturns
 from brackenlane.ops.handover_records import (
     HandoverRecord,
     MaintenanceEntered,
@@ -16,16 +16,6 @@
     SubmitReleased,
 )
 
-MAX_RETURNS = 1_024  # caches back in service that are kept; past it the earliest return is dropped
-RETURN_LIFETIME = 3_600.0  # seconds; longer than any slow start
-
-
-class CacheReturn(NamedTuple):
-    """A cache was out of service from one Unix time to another; it may have been restarted meanwhile."""
-
-    entered_at: float
-    exited_at: float
-
 
 class HandoverIndex:
     """Which processes serve, which caches are or were out of service, and which submits may have run."""
@@ -35,7 +25,7 @@
         self._max_claims = max_claims
         self.is_serving: dict[str, bool] = {}  # whether each process serves, by process id in start order
         self.out_of_service: dict[str, float] = {}  # the Unix time of the order, by cache
-        self.returns: OrderedDict[str, CacheReturn] = OrderedDict()  # the latest return of each cache
+        self.returns = CacheReturns()
         self.claims: OrderedDict[str, str] = OrderedDict()  # the process with the first claim, by request id
 
     def apply(self, record: HandoverRecord) -> None:
@@ -59,12 +49,8 @@
 
     def _exit(self, server: str, at: float) -> None:
         entered_at = self.out_of_service.pop(server, None)
-        if entered_at is None:
-            return
-        self.returns.pop(server, None)
-        self.returns[server] = CacheReturn(entered_at, at)
-        if len(self.returns) > MAX_RETURNS:
-            self.returns.popitem(last=False)
+        if entered_at is not None:
+            self.returns.record(server, CacheReturn(entered_at, at))
 
     def remove_process(self, process_id: str) -> None:
         """Remove a terminated process; its claims are kept, since the submits may have run."""
--- a/brackenlane/ops/maintenance.py
+++ b/brackenlane/ops/maintenance.py
@@ -6,13 +6,12 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
 from collections.abc import Callable, Mapping
 from dataclasses import replace
 from enum import Enum
 from typing import NamedTuple
 
-from brackenlane.ops.handover_index import MAX_RETURNS, CacheReturn
+from brackenlane.ops.cache_returns import CacheReturn, CacheReturns
 from brackenlane.routing.events import Membership, MembershipKind
 from brackenlane.routing.members import Member, ServerState
 
@@ -47,8 +46,8 @@
         self._max_out_of_service = max_out_of_service
         self.listed: dict[str, Member] = {}  # the caches that the change log lists, by id
         self.out_of_service: dict[str, float] = {}  # the Unix time of the order, by cache
-        # Caches back in service whose start since the order the change log has not reported; oldest first.
-        self._returns: OrderedDict[str, CacheReturn] = OrderedDict()
+        # Caches back in service whose start since the order the change log has not reported.
+        self._returns = CacheReturns()
         self._is_excluded: Callable[[Member], bool] = lambda _: False
 
     def apply(self, event: Membership) -> Membership:
@@ -105,7 +104,7 @@
             self.out_of_service.setdefault(server, at)
             self._returns.pop(server, None)
         elif server in self.out_of_service:
-            self._record_return(server, CacheReturn(self.out_of_service.pop(server), at))
+            self._returns.record(server, CacheReturn(self.out_of_service.pop(server), at))
         else:
             return None
         member = self.listed.get(server)
@@ -115,13 +114,7 @@
         """Adopt the orders that earlier processes of this router have accepted."""
         self.out_of_service.update(out_of_service)
         for server, cache_return in returns.items():
-            self._record_return(server, cache_return)
-
-    def _record_return(self, server: str, cache_return: CacheReturn) -> None:
-        self._returns.pop(server, None)
-        self._returns[server] = cache_return
-        if len(self._returns) > MAX_RETURNS:
-            self._returns.popitem(last=False)
+            self._returns.record(server, cache_return)
 
     def exclude(self, is_excluded: Callable[[Member], bool]) -> Membership:
         """Report the caches that the predicate selects as draining from now on; return the event for that."""
