Poller: the program no longer loads pytest through trio.testing

Where pytest is installed, a router took 38.9 MB instead of 28.7 MB before its first client, so a test could not hold it to 32 MB. The function is imported from the module that defines it (trio is pinned).

--- a/brackenlane/net/poller.py
+++ b/brackenlane/net/poller.py
@@ -20,7 +20,9 @@
 from dataclasses import dataclass
 
 import trio
-from trio.testing import wait_all_tasks_blocked
+
+# `trio.testing` exports the same function, but loads pytest as well where that is installed.
+from trio._core._generated_run import wait_all_tasks_blocked
 
 from brackenlane.clock import steady_time
 from brackenlane.net.socket_errors import is_shortage
