--- a/brackenlane/net/request_input.py
+++ b/brackenlane/net/request_input.py
@@ -12,11 +12,19 @@
     A simple GET is held unparsed, so that rejecting it does not cost a run of the parser.
     """
 
-    __slots__ = ("_parser", "_unparsed", "has_overflowed", "target", "unrequested_bytes_left")
+    __slots__ = (
+        "_parser",
+        "_unparsed",
+        "_unparsed_request_size",
+        "has_overflowed",
+        "target",
+        "unrequested_bytes_left",
+    )
 
     def __init__(self, limits: Limits) -> None:
         self._parser = RequestParser(limits)
         self._unparsed = b""
+        self._unparsed_request_size = 0  # bytes of the request at the start of `_unparsed`
         self.target = ""  # target of the unparsed request; "" if there is none or bytes follow it
         # Bytes that the client may still send before its answer is sent, or before this side closes.
         self.unrequested_bytes_left = 0
@@ -44,19 +52,36 @@
     def hold_unparsed(self, data: bytes, target: str) -> None:
         """Hold one complete simple request unparsed."""
         self._unparsed = data
+        self._unparsed_request_size = len(data)
         self.target = target
 
     def buffer(self, data: bytes) -> None:
         """Buffer bytes that follow a request; beyond the limit they are discarded."""
         if self.count_unrequested(data):
-            self.has_overflowed = True
-            self.target = ""
+            self.discard_following()
         elif self._unparsed:
             self._unparsed += data
             self.target = ""  # the bytes are no longer a single simple request and must be parsed
         else:
             self._parser.feed(data)
 
+    def discard_following(self) -> None:
+        """Discard the bytes behind the request that is held or in flight; the connection closes after it."""
+        self.has_overflowed = True
+        self.target = ""
+        self._unparsed = self._unparsed[: self._unparsed_request_size]
+        self._parser.discard_following()
+
+    def close(self) -> None:
+        """Free the memory of the requests at once; nothing may be fed after that."""
+        self.discard_unparsed()
+        self._parser.close()
+
+    @property
+    def held_size(self) -> int:
+        """Bytes of memory that the requests occupy."""
+        return len(self._unparsed) + self._parser.held_size
+
     def count_unrequested(self, data: bytes) -> bool:
         """Count bytes that the client sent before its answer; return whether the limit is reached."""
         self.unrequested_bytes_left -= len(data)
