Closed connections and ended requests free their memory at once

Callers saw memory grow to several times what was held. Cause: a parser and llhttp refer to each other, as do a request and its attempts with their replies of up to 240 kB, and a fault's traceback refers to its parser; so all of them waited for the garbage collector's oldest generation. Now close() and the removal from the request table cut these references.

--- a/brackenlane/core/request_table.py
+++ b/brackenlane/core/request_table.py
@@ -62,4 +62,5 @@
         if request is None or not request.is_finished or request.has_active_attempts:
             return
         del self._requests[request_id]
+        request.free()
         self._on_removed()
--- a/brackenlane/core/requests.py
+++ b/brackenlane/core/requests.py
@@ -108,6 +108,14 @@
         """Whether any attempt has not ended yet."""
         return any(attempt.reply is None for attempt in self.attempts)
 
+    def free(self) -> None:
+        """Free the memory of the body and the replies at once; to be called after the last attempt.
+
+        Request and attempts refer to each other, so that they would wait for the garbage collector.
+        """
+        self.attempts.clear()
+        self.body = b""
+
     def finish(self, answer: Answer | None) -> None:
         """Finish the request and notify the front; `answer` is None if the client has disconnected."""
         on_answer = self.on_answer
--- a/brackenlane/net/client_connection.py
+++ b/brackenlane/net/client_connection.py
@@ -171,6 +171,7 @@
             self._queue.remove(self, *self._queue_entry)
         self._tracker.forget(self, self._state)
         self._transport.close()
+        self._input.close()
         self._tracker.count_closed()
         if self.request:
             request = self.request
--- a/brackenlane/ops/admin_api.py
+++ b/brackenlane/ops/admin_api.py
@@ -123,6 +123,7 @@
             self._is_open = False
             self._api.poller.remove(self._sock.fileno())
             self._sock.close()
+            self._parser.close()
             self._api.on_closed(self)
 
     def on_ready(self, events: int) -> None:
