--- a/brackenlane/core/action_executor.py
+++ b/brackenlane/core/action_executor.py
@@ -49,13 +49,19 @@
             case Cancel():
                 self._cancel(action)
             case SetTimer():
-                message = RouterTimerFired(router, TimerFired(action.token))
-                self._timers.call_at(action.at, self._post, message)
+                self._set_timer(action, router)
             case Reject():
                 self._reject(action, default_hold_off)
             case Fail():
                 self._fail(action, now)
 
+    def _set_timer(self, action: SetTimer, router: Router) -> None:
+        """Set a timer of a router, which is cancelled when its request ends."""
+        request = self._requests.find_open(action.request_id)
+        if request is not None:
+            message = RouterTimerFired(router, TimerFired(action.token))
+            request.timers.append(self._timers.call_at(action.at, self._post, message))
+
     def _start_attempt(self, fetch: Fetch, now: float) -> None:
         request = self._requests.find_open(fetch.request_id)
         if request is None:
--- a/brackenlane/core/request_table.py
+++ b/brackenlane/core/request_table.py
@@ -35,7 +35,7 @@
         """
         request_id = request.arrival.request_id
         self._requests[request_id] = request
-        request.expiry_timer = self._timers.call_at(expires_at, on_expired, request_id)
+        request.timers.append(self._timers.call_at(expires_at, on_expired, request_id))
 
     def find(self, request_id: str) -> PendingRequest | None:
         """Return a request, finished or not; None if it is unknown or removed."""
--- a/brackenlane/core/requests.py
+++ b/brackenlane/core/requests.py
@@ -76,7 +76,7 @@
     is_client_connected: Callable[[], bool] = _assume_connected  # may detect a close and finish the request
     cls: RequestClass | None = None  # class of the request, as configured on its arrival
     router: Router | None = None  # router that makes all decisions for this request; set on arrival
-    expiry_timer: Timer | None = None
+    timers: list[Timer] = field(default_factory=list)  # cancelled when the request is finished
     answer: Answer | None = None
     is_finished: bool = False  # answered or withdrawn; attempts may still be active
     attempts: list[Attempt] = field(default_factory=list)
@@ -122,8 +122,9 @@
         self.is_finished = True
         self.answer = answer
         self.on_answer = None
-        if self.expiry_timer:
-            self.expiry_timer.cancel()
+        for timer in self.timers:
+            timer.cancel()
+        self.timers.clear()
         if on_answer is None or answer is None:
             return
         try:
--- a/brackenlane/routing/actions.py
+++ b/brackenlane/routing/actions.py
@@ -61,6 +61,7 @@
 
     token: int  # identifies the timer
     at: float  # expiry time, in Unix seconds
+    request_id: str = ""  # the request whose final answer makes the timer unnecessary
 
 
 @dataclass(slots=True, frozen=True)
--- a/brackenlane/routing/router.py
+++ b/brackenlane/routing/router.py
@@ -144,6 +144,7 @@
             case ResponseStarted():
                 # The response is already streaming to the client, so no other attempt may be sent.
                 self.pending_requests.pop(event.request_id, None)
+                self._timers.forget(event.request_id)
             case TimerFired():
                 self._on_timer(event.token, now)
             case Purged():
@@ -257,6 +258,7 @@
     def _forget(self, request_id: str) -> None:
         """Remove a finished request, and cancel its attempts in flight."""
         request = self.pending_requests.pop(request_id, None)
+        self._timers.forget(request_id)
         if request is None or request.in_flight <= 0 or not self.settings.may_cancel:
             return
         for number in range(request.attempts_sent):
