Response cache: entries count with the memory they occupy, not their bodies alone

Callers saw memory grow under ever new small objects. Cause: the capacity counted bodies; an entry of one byte takes some 750 bytes besides. Now each entry counts 1,024 bytes more.

--- a/brackenlane/core/response_cache.py
+++ b/brackenlane/core/response_cache.py
@@ -12,6 +12,7 @@
 from brackenlane.routing.settings import RequestClass, Settings
 
 MAX_ENTRY_SHARE = 1 / 8  # maximum share of the capacity that one response may occupy
+ENTRY_OVERHEAD = 1_024  # bytes of memory that an entry occupies besides its body
 # Share of the fresh time for which an entry is served. After that a cache is asked, so that it revalidates
 # its own copy.
 USABLE_FRESHNESS = 0.8
@@ -29,6 +30,11 @@
     issued: float  # time at which the origin issued it, on the origin's clock
     received_at: float  # time at which this process received it, on this machine's clock
 
+    @property
+    def memory_size(self) -> int:
+        """Bytes of memory that the entry occupies."""
+        return len(self.body) + ENTRY_OVERHEAD
+
     def age(self, now: float) -> float:
         """Return the seconds since the origin issued it: its age on receipt plus the time since then."""
         return now - self.received_at + max(0.0, self.received_at - self.issued)
@@ -53,9 +59,9 @@
     ) -> None:
         """Create an empty cache.
 
-        capacity: bytes; transfer_rate: rate of one transfer in bytes per second; link_rate: rate of all
-        transfers together in bytes per second; clock_tolerance: seconds by which the clocks of two machines
-        may differ.
+        capacity: bytes of memory; transfer_rate: rate of one transfer in bytes per second; link_rate: rate of
+        all transfers together in bytes per second; clock_tolerance: seconds by which the clocks of two
+        machines may differ.
         """
         self.max_capacity = capacity
         self._capacity = capacity
@@ -64,7 +70,7 @@
         self._clock_tolerance = clock_tolerance
         self._classes = {c.name: c for c in settings.classes if not c.uncached}
         self._entries: OrderedDict[tuple[str, str], CacheEntry] = OrderedDict()
-        self._size = 0.0
+        self._size = 0  # bytes of memory that the entries occupy
         self._link_free_at = 0.0  # time at which the link will have sent all answers assigned to it
 
     @property
@@ -79,8 +85,10 @@
 
     def store(self, entry: CacheEntry) -> None:
         """Store an entry, unless its class is not cacheable or it is too large."""
-        size = len(entry.body)
-        if entry.arrival.cls not in self._classes or not 0 < size <= self._capacity * MAX_ENTRY_SHARE:
+        size = entry.memory_size
+        if entry.arrival.cls not in self._classes or not entry.body:
+            return
+        if size > self._capacity * MAX_ENTRY_SHARE:
             return
         key = (entry.arrival.cls, entry.arrival.cache_key)
         self._drop(key)
@@ -147,4 +155,4 @@
 
     def _drop(self, key: tuple[str, str]) -> None:
         if entry := self._entries.pop(key, None):
-            self._size -= len(entry.body)
+            self._size -= entry.memory_size
--- a/tests/test_response_cache.py
+++ b/tests/test_response_cache.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import time
+import tracemalloc
 from pathlib import Path
 
 import pytest
 import trio
 
-from brackenlane.core.response_cache import CacheEntry, ResponseCache
+from brackenlane.core.response_cache import ENTRY_OVERHEAD, CacheEntry, ResponseCache
 from brackenlane.routing.events import Arrival, Purged
 from tests.router_harness import TILES, VIDEO, settings
 from tests.stand_ins import ChangeLogStandIn, run_platform, with_trio
@@ -21,8 +22,9 @@
 
 
 def build_cache(**sizes: int) -> ResponseCache:
-    """Build a cache of 8,000 bytes with objects of these sizes; the link has 10 kB/s, a transfer 1 kB/s."""
-    cache = ResponseCache(settings(classes=(VIDEO, TILES)), 8000, 1000.0, 10_000.0, 0.05)
+    """Build a cache for 8 objects of 1,000 bytes; the link has 10 kB/s, a transfer 1 kB/s."""
+    capacity = 8 * (1000 + ENTRY_OVERHEAD)
+    cache = ResponseCache(settings(classes=(VIDEO, TILES)), capacity, 1000.0, 10_000.0, 0.05)
     for name, size in sizes.items():
         cache.store(CacheEntry(arrival(name), bytes(size), "e1", 100.0, 100.0))
     return cache
@@ -73,6 +75,19 @@
     assert cache.find(arrival("o0"), "", 110.0)
 
 
+def test_copies_of_tiny_objects_take_the_memory_of_the_capacity_only() -> None:
+    capacity = 4_000_000
+    cache = ResponseCache(settings(classes=(VIDEO, TILES)), capacity, 1000.0, 10_000.0, 0.05)
+    tracemalloc.start()
+    try:
+        for number in range(20_000):
+            cache.store(CacheEntry(arrival(f"object-{number}"), b"%d" % number, f"e{number}", 1.0, 1.0))
+        held, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert held <= capacity
+
+
 def test_full_link_leaves_requests_to_the_caches() -> None:
     """Answers without a body, sent when the client's copy is current, use little of the link."""
     cache = build_cache(a=1000)
