Bytes behind a request stay limited while requests are served one after the other

Now bytes that have arrived count against the allowance of the next request. The new test fails without that.

--- a/brackenlane/net/client_connection.py
+++ b/brackenlane/net/client_connection.py
@@ -310,7 +310,7 @@
         self._enqueue(target, is_retry)
 
     def _enqueue(self, target: str, is_retry: bool) -> None:
-        self._input.unrequested_bytes_left = self._context.limits.max_head_size
+        self._input.begin_request()
         self.enter_state(ClientState.ACTIVE)
         self._class_name = queue_class(target)
         self._queue_entry = QueueEntry(self._class_name, is_retry)
@@ -366,7 +366,7 @@
 
     def _reject_unparsed(self) -> None:
         """Send the encoded rejection and keep the connection open."""
-        self._input.unrequested_bytes_left = self._context.limits.max_head_size
+        self._input.begin_request()
         self._closes_after_answer = False
         self._context.metrics.count_answer(self._class_name, HTTPStatus.SERVICE_UNAVAILABLE)
         self._send(self._queue.rejection)
--- a/brackenlane/net/http_codec.py
+++ b/brackenlane/net/http_codec.py
@@ -155,6 +155,11 @@
             size += self._complete.held_size
         return size
 
+    @property
+    def unparsed_size(self) -> int:
+        """Number of bytes behind the complete request."""
+        return len(self._unparsed)
+
     @property
     def complete(self) -> ParsedRequest | None:
         """The next complete request, without removing it."""
--- a/brackenlane/net/request_input.py
+++ b/brackenlane/net/request_input.py
@@ -13,6 +13,7 @@
     """
 
     __slots__ = (
+        "_max_following_size",
         "_parser",
         "_unparsed",
         "_unparsed_request_size",
@@ -23,6 +24,7 @@
 
     def __init__(self, limits: Limits) -> None:
         self._parser = RequestParser(limits)
+        self._max_following_size = limits.max_head_size
         self._unparsed = b""
         self._unparsed_request_size = 0  # bytes of the request at the start of `_unparsed`
         self.target = ""  # target of the unparsed request; "" if there is none or bytes follow it
@@ -56,7 +58,7 @@
         self.target = target
 
     def buffer(self, data: bytes) -> None:
-        """Buffer bytes that follow a request; beyond the limit they are discarded."""
+        """Buffer bytes that follow a request; beyond the limit all that follows it is discarded."""
         if self.count_unrequested(data):
             self.discard_following()
         elif self._unparsed:
@@ -77,6 +79,10 @@
         self.discard_unparsed()
         self._parser.close()
 
+    def begin_request(self) -> None:
+        """Set the limit for bytes behind the next request; those that have arrived already count."""
+        self.unrequested_bytes_left = self._max_following_size - self._parser.unparsed_size
+
     @property
     def held_size(self) -> int:
         """Bytes of memory that the requests occupy."""
@@ -90,6 +96,7 @@
     def discard_unparsed(self) -> None:
         """Discard the request that is held unparsed."""
         self._unparsed = b""
+        self._unparsed_request_size = 0
         self.target = ""
 
     def next(self) -> ParsedRequest | None:
--- a/tests/test_request_parser.py
+++ b/tests/test_request_parser.py
@@ -10,6 +10,7 @@
 
 from brackenlane.limits import Limits
 from brackenlane.net.http_codec import ParsedRequest, RequestParser
+from brackenlane.net.request_input import RequestInput
 
 WIRE = (
     b"\r\nGET /first HTTP/1.1\r\nHost: a\r\nX-Txn: 1\r\n\r\n"
@@ -49,6 +50,24 @@
     assert len(take_all(parser)) == 600
 
 
+@pytest.mark.parametrize(
+    "request_bytes", [b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n", b"GET /x HTTP/1.1\r\nHost:\r\n\r\n"]
+)
+def test_client_that_sends_faster_than_it_is_served_does_not_fill_the_memory(request_bytes: bytes) -> None:
+    limits = Limits()
+    received = RequestInput(limits)
+    batch = request_bytes * (8_000 // len(request_bytes))
+    received.feed(batch)
+    for _ in range(200):
+        received.begin_request()
+        received.buffer(batch)
+        assert received.held_size < 3 * limits.max_head_size
+        if received.has_overflowed:
+            return
+        received.next()
+    pytest.fail("the bytes behind a request are not limited")
+
+
 def test_body_in_tiny_chunks_takes_the_memory_of_its_bytes() -> None:
     parser = parser_after(
         b"PUT / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" + b"2\r\nab\r\n" * 1000
