--- a/brackenlane/net/client_connection.py
+++ b/brackenlane/net/client_connection.py
@@ -6,15 +6,14 @@
 import math
 import re
 import socket
-from dataclasses import dataclass
-from enum import IntEnum
 from http import HTTPStatus
-from typing import NamedTuple, Protocol
+from typing import NamedTuple
 
 from brackenlane.admission.load_metrics import Reason
 from brackenlane.core.requests import PendingRequest
+from brackenlane.net.client_state import ClientState
 from brackenlane.net.client_transport import ClientDisconnectedError, ClientTransport
-from brackenlane.net.front_context import FrontContext
+from brackenlane.net.connection_services import ConnectionServices
 from brackenlane.net.http_codec import (
     CONTINUE,
     BadRequestError,
@@ -33,77 +32,6 @@
 MAX_READS_TO_END = 4  # reads that look for the end of the stream; unread data may precede it
 
 
-class ClientState(IntEnum):
-    """State of a client connection. The connection table uses the values as list indices."""
-
-    ACTIVE = 0  # a request is queued or in flight; nothing is expected from the client
-    NEW = 1  # accepted, no byte of the first request was received
-    IDLE = 2  # no byte of the next request was received
-    READING = 3  # a request was received in part
-    WRITING = 4  # an answer was sent in part
-    CLOSING = 5  # the sending half is closed; the client has yet to close its half
-
-
-class ConnectionTracker(Protocol):
-    """Receiver of the state changes of connections."""
-
-    def move(self, connection: ClientConnection, previous: ClientState, state: ClientState) -> None:
-        """Record a change of state."""
-
-    def forget(self, connection: ClientConnection, state: ClientState) -> None:
-        """Remove a connection that is closed while in this state."""
-
-    def count_closed(self) -> None:
-        """Count a connection whose socket was closed."""
-
-
-class RequestQueue(Protocol):
-    """Queue in which a connection places its requests; it also provides the rejections."""
-
-    rejection: bytes  # complete encoded rejection that is currently sent
-
-    def enqueue(self, connection: ClientConnection, class_name: str, is_retry: bool, since: float) -> None:
-        """Add a request; since: Unix time from which it has waited.
-
-        The queue later calls `serve` or `reject` on the connection.
-        """
-
-    def remove(self, connection: ClientConnection, class_name: str, is_retry: bool) -> None:
-        """Remove a request."""
-
-    def must_reject(self, target: str, is_retry: bool) -> bool:
-        """Return whether the queue is full for this request and the response cache cannot serve it."""
-
-    def has_cached_response(self, target: str) -> bool:
-        """Return whether the response cache can serve this target."""
-
-    def retry_after(self, now: float) -> float:
-        """Return the seconds after which a rejected client may retry."""
-
-    def encode_rejection(self, retry_after: float = 0.0) -> EncodedResponse:
-        """Encode a rejection; retry_after: seconds until the client may retry, 0 for `Limits.retry_after`."""
-
-
-class RequestHandler(Protocol):
-    """Handler of the requests of a connection; it answers through `ClientConnection.answer`."""
-
-    def accept(self, client: ClientConnection, parsed: ParsedRequest, since: float) -> None:
-        """Accept a request; since: Unix time of its arrival. Raises BadRequestError."""
-
-    def withdraw(self, request: PendingRequest) -> None:
-        """Withdraw a request whose client has disconnected."""
-
-
-@dataclass(frozen=True, slots=True)
-class ConnectionServices:
-    """Services that all connections of a front use."""
-
-    context: FrontContext
-    tracker: ConnectionTracker
-    queue: RequestQueue
-    handler: RequestHandler
-
-
 class QueueEntry(NamedTuple):
     """Class and retry flag under which the request of a connection is queued."""
 
--- a/brackenlane/net/connection_table.py
+++ b/brackenlane/net/connection_table.py
@@ -10,7 +10,8 @@
 
 from brackenlane.clock import steady_time
 from brackenlane.limits import Limits
-from brackenlane.net.client_connection import ClientConnection, ClientState
+from brackenlane.net.client_connection import ClientConnection
+from brackenlane.net.client_state import ClientState
 from brackenlane.net.front_context import FrontContext
 
 # States of a connection without a request in flight, in the order in which such connections are closed.
--- a/brackenlane/net/http_front.py
+++ b/brackenlane/net/http_front.py
@@ -16,7 +16,7 @@
 from brackenlane.limits import Limits
 from brackenlane.net.admission_queue import AdmissionQueue
 from brackenlane.net.answer_encoder import AnswerEncoder
-from brackenlane.net.client_connection import ConnectionServices
+from brackenlane.net.connection_services import ConnectionServices
 from brackenlane.net.connection_table import ConnectionTable
 from brackenlane.net.front_context import FrontContext
 from brackenlane.net.listener import Listener
--- a/brackenlane/net/listener.py
+++ b/brackenlane/net/listener.py
@@ -11,7 +11,9 @@
 from brackenlane.admission.load_metrics import Reason
 from brackenlane.clock import steady_time
 from brackenlane.core.timers import Timers
-from brackenlane.net.client_connection import ClientConnection, ClientState, ConnectionServices
+from brackenlane.net.client_connection import ClientConnection
+from brackenlane.net.client_state import ClientState
+from brackenlane.net.connection_services import ConnectionServices
 from brackenlane.net.connection_table import ConnectionTable
 from brackenlane.net.front_context import FrontContext
 from brackenlane.net.poller import READ
--- a/tests/test_request_lifecycle.py
+++ b/tests/test_request_lifecycle.py
@@ -30,7 +30,7 @@
 from brackenlane.core.timers import Timers
 from brackenlane.limits import Limits
 from brackenlane.net.cache_connection import CacheConnection
-from brackenlane.net.client_connection import ClientState
+from brackenlane.net.client_state import ClientState
 from brackenlane.net.connection_context import ConnectionContext, ConnectionQuota
 from brackenlane.net.dispatched_attempt import DispatchedAttempt
 from brackenlane.net.http_front import HttpFront
