Requests of very many fields or chunks are refused early

Callers saw answers late beside a crowd that sent heads of 4,000 short fields or bodies in chunks of two bytes: each costs the parser 1 to 10 ms. A head has 128 fields, a body 1,024 chunks at most now; more is answered 431 or 413. The new test fails without the limits.

--- a/brackenlane/limits.py
+++ b/brackenlane/limits.py
@@ -25,6 +25,8 @@
 
     # Client connections
     max_head_size: int = 16_384  # size of request line and headers; a larger head is answered with an error
+    max_head_fields: int = 128  # headers of a request; more are answered with an error
+    max_upload_chunks: int = 1_024  # chunks of a body; more are answered with an error
     max_upload_size: int = 48_000  # body size of a write; a larger one is answered with an error
     # Open connections; an idle one is closed to make room, and if there is none, the new one is rejected.
     max_client_connections: int = 400
--- a/brackenlane/net/http_codec.py
+++ b/brackenlane/net/http_codec.py
@@ -112,7 +112,9 @@
     __slots__ = (
         "_body",
         "_body_left",
+        "_chunk_count",
         "_complete",
+        "_field_count",
         "_head_size",
         "_headers",
         "_in_head",
@@ -142,6 +144,8 @@
         self._target = b""
         self._headers: Headers = {}
         self._head_size = 0
+        self._field_count = 0
+        self._chunk_count = 0
         self._body = bytearray()
         self._body_left = 0  # bytes of the body still to come; 0 if its length is not given
 
@@ -160,6 +164,11 @@
         """Number of bytes behind the complete request."""
         return len(self._unparsed)
 
+    @property
+    def has_following(self) -> bool:
+        """Whether bytes that `discard_following` would free are kept."""
+        return bool(self._unparsed or self._body)
+
     @property
     def complete(self) -> ParsedRequest | None:
         """The next complete request, without removing it."""
@@ -188,6 +197,7 @@
         """Free the memory of the requests at once; nothing may be fed after that."""
         self.discard_following()
         self._complete = None
+        self.is_partial = False
 
     def _parse(self) -> None:
         while self._unparsed and self._complete is None and not self.fault:
@@ -245,6 +255,9 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add one header; trailers after a chunked body are ignored. Raises BadRequestError."""
+        self._field_count += 1
+        if self._field_count > self._limits.max_head_fields:
+            raise BadRequestError(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the head has too many fields")
         known = RECOGNIZED_HEADERS.get(name.lower())
         if known is None or not self._in_head:
             return
@@ -283,6 +296,10 @@
         self._body += data
         if len(self._body) > self._limits.max_upload_size:
             raise BadRequestError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large")
+        if not self._body_left:
+            self._chunk_count += 1
+        if self._chunk_count > self._limits.max_upload_chunks:
+            raise BadRequestError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body has too many chunks")
         self._body_left = max(0, self._body_left - len(data))
 
     def on_message_complete(self) -> None:
--- a/tests/test_request_parser.py
+++ b/tests/test_request_parser.py
@@ -75,6 +75,20 @@
     assert parser.held_size < 6_000
 
 
+@pytest.mark.parametrize(
+    ("data", "text"),
+    [
+        (b"GET / HTTP/1.1\r\nHost: a\r\n" + b"a:\r\n" * 200, "too many fields"),
+        (
+            b"PUT / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" + b"1\r\na\r\n" * 1_100,
+            "too many chunks",
+        ),
+    ],
+)
+def test_small_pieces_that_cost_much_time_to_parse_are_refused_early(data: bytes, text: str) -> None:
+    assert text in str(parser_after(data).fault)
+
+
 @pytest.mark.parametrize(
     "data", [WIRE, b"PUT / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nb", b"GET / HTTP/9.9\r\n\r\n"]
 )
