Memory budget: all that peers cause is counted, and the heaviest is freed first

Callers saw routers killed for their memory: limits for each connection bound nothing when hundreds reach them at once (330 bodies of 48 kB, replies and answers of 240 kB each), and were no part of memory_mb. Now every holder tells core.memory_budget its size as it occupies memory: client connections (input, parsed request, answer being sent), requests in flight with those whose clients left, connections to caches (reply, remembered ids), copies. The capacity is memory_mb less what the process takes otherwise, measured each 0.2 s (core.process_memory). Past it: copies are evicted, requests received in part or queued are answered 503, idle connections close, the heaviest first; reading from clients and caches waits; new requests get 503. A request that may have run is kept; only a client that has read nothing for 0.5 s, or a reply that has stood for 1 s, is closed. Each is logged and counted (gw_memory_*). A reply's memory is taken as its length is known, so that what was begun can end. An answer being sent is not copied any more, and the C library returns large blocks at once.

--- a/brackenlane/admission/load_metrics.py
+++ b/brackenlane/admission/load_metrics.py
@@ -22,12 +22,14 @@
     QUEUED = 0  # it waited longer than a standing queue allows, or the queue had no capacity for it
     LATE = 1  # its deadline passed before it could be served
     FULL = 2  # no connection was free, and all open ones had active requests
+    MEMORY = 3  # too little memory was left for it
 
 
 REASON_NAMES = {
     Reason.QUEUED: "stood too long",
     Reason.LATE: "out of time",
     Reason.FULL: "no connection free",
+    Reason.MEMORY: "no memory free",
 }
 
 
--- a/brackenlane/core/engine.py
+++ b/brackenlane/core/engine.py
@@ -41,6 +41,7 @@
         self.settings = config.settings
         self._limits = config.limits
         self._clock = clock
+        self.memory = config.memory
         self.membership = MembershipView(config.settings)
         self.timers = Timers(clock)
         self._processor = MessageProcessor(
--- a/brackenlane/core/engine_config.py
+++ b/brackenlane/core/engine_config.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from brackenlane.core.memory_budget import MemoryBudget
 from brackenlane.core.response_cache import ResponseCache
 from brackenlane.limits import Limits
 from brackenlane.routing.settings import Settings
@@ -18,3 +19,5 @@
     limits: Limits
     transfer_rate: float = 0.0  # rate of one transfer in bytes per second; 0: not configured
     response_cache: ResponseCache | None = None
+    # Memory of the engine and its fronts; the one with which an engine is started remains in force.
+    memory: MemoryBudget = field(default_factory=MemoryBudget)
--- a/brackenlane/core/message_processor.py
+++ b/brackenlane/core/message_processor.py
@@ -51,8 +51,8 @@
         self._post = post
         self._on_result = on_result
         self.routers = RouterSet(config.settings, config.seed)
-        self.requests = RequestTable(timers, self.routers.remove_idle)
-        self.cached_responses = CachedResponses(config.response_cache)
+        self.requests = RequestTable(timers, self.routers.remove_idle, config.memory)
+        self.cached_responses = CachedResponses(config.response_cache, config.memory)
         self._executor = ActionExecutor(self.requests, timers, dispatch, post)
         self._apply(config)
 
--- a/brackenlane/core/metrics.py
+++ b/brackenlane/core/metrics.py
@@ -62,8 +62,16 @@
     pool_ejected: int = 0  # listed servers taken out by an operator or ejected by outlier detection
 
 
-def expose(metrics: RequestMetrics, gauges: Gauges, faults: Mapping[str, int] | None = None) -> bytes:
-    """Return all metrics as text. faults: counters of external faults since this process started, by name."""
+def expose(
+    metrics: RequestMetrics,
+    gauges: Gauges,
+    faults: Mapping[str, int] | None = None,
+    levels: Mapping[str, int] | None = None,
+) -> bytes:
+    """Return all metrics as text.
+
+    faults: counters of external faults since this process started, by name; levels: current values by name.
+    """
     lines: list[str] = []
     for name, field in (("ok", "served"), ("shed", "rejected"), ("errors", "failed"), ("tries", "attempts")):
         lines.append(f"# TYPE gw_{name} counter")
@@ -75,6 +83,8 @@
         lines += [f"# TYPE gw_{name} gauge", f"gw_{name} {getattr(gauges, name)}"]
     for name, count in (faults or {}).items():
         lines += [f"# TYPE gw_{name} counter", f"gw_{name} {count}"]
+    for name, level in (levels or {}).items():
+        lines += [f"# TYPE gw_{name} gauge", f"gw_{name} {level}"]
     return ("\n".join(lines) + "\n").encode()
 
 
--- a/brackenlane/core/request_table.py
+++ b/brackenlane/core/request_table.py
@@ -4,20 +4,30 @@
 
 from collections.abc import Callable
 
+from brackenlane.core.memory_budget import MemoryBudget
 from brackenlane.core.requests import Answer, PendingRequest
 from brackenlane.core.timers import Timers
 
+# Bytes of memory of a request, its attempts, timers and the router's records of them, besides its body.
+REQUEST_SIZE = 4_096
+
 
 class RequestTable:
     """Holds each request from its arrival until it is finished and its last attempt has ended.
 
-    Its size is bounded by the fronts: each client connection has at most one open request.
+    Open requests are bounded by the fronts, as each client connection has at most one. Requests whose clients
+    have left stay until their attempts end; the memory of all of them is counted, and the fronts reject new
+    requests while it is short.
     """
 
-    def __init__(self, timers: Timers, on_removed: Callable[[], None]) -> None:
+    def __init__(
+        self, timers: Timers, on_removed: Callable[[], None], memory: MemoryBudget | None = None
+    ) -> None:
         self._timers = timers
         self._on_removed = on_removed
+        self._memory = memory or MemoryBudget()
         self._requests: dict[str, PendingRequest] = {}
+        self._body_size = 0  # bytes of the bodies of all requests
 
     @property
     def open_count(self) -> int:
@@ -35,6 +45,8 @@
         """
         request_id = request.arrival.request_id
         self._requests[request_id] = request
+        self._body_size += len(request.body)
+        self._count_memory()
         request.timers.append(self._timers.call_at(expires_at, on_expired, request_id))
 
     def find(self, request_id: str) -> PendingRequest | None:
@@ -62,5 +74,14 @@
         if request is None or not request.is_finished or request.has_active_attempts:
             return
         del self._requests[request_id]
+        self._body_size -= len(request.body)
+        self._count_memory()
         request.free()
         self._on_removed()
+
+    def release_memory(self) -> str:
+        """Free nothing: a request in the table may have run."""
+        return ""
+
+    def _count_memory(self) -> None:
+        self._memory.resize(self, len(self._requests) * REQUEST_SIZE + self._body_size)
--- a/brackenlane/core/response_cache.py
+++ b/brackenlane/core/response_cache.py
@@ -70,7 +70,7 @@
         self._clock_tolerance = clock_tolerance
         self._classes = {c.name: c for c in settings.classes if not c.uncached}
         self._entries: OrderedDict[tuple[str, str], CacheEntry] = OrderedDict()
-        self._size = 0  # bytes of memory that the entries occupy
+        self.size = 0  # bytes of memory that the entries occupy
         self._link_free_at = 0.0  # time at which the link will have sent all answers assigned to it
 
     @property
@@ -81,7 +81,7 @@
     def set_capacity(self, capacity: float) -> None:
         """Set the maximum number of bytes; entries over it are evicted."""
         self._capacity = capacity
-        self._evict()
+        self.evict_to(capacity)
 
     def store(self, entry: CacheEntry) -> None:
         """Store an entry, unless its class is not cacheable or it is too large."""
@@ -93,8 +93,8 @@
         key = (entry.arrival.cls, entry.arrival.cache_key)
         self._drop(key)
         self._entries[key] = entry
-        self._size += size
-        self._evict()
+        self.size += size
+        self.evict_to(self._capacity)
 
     def holds(self, cls: str, cache_key: str) -> bool:
         """Whether an entry is stored; `find` decides whether it may be served.
@@ -149,10 +149,11 @@
         self._link_free_at = free_at
         return True
 
-    def _evict(self) -> None:
-        while self._size > self._capacity:
+    def evict_to(self, size: float) -> None:
+        """Evict the least recently used entries until they occupy at most so many bytes."""
+        while self.size > size and self._entries:
             self._drop(next(iter(self._entries)))
 
     def _drop(self, key: tuple[str, str]) -> None:
         if entry := self._entries.pop(key, None):
-            self._size -= entry.memory_size
+            self.size -= entry.memory_size
--- a/brackenlane/limits.py
+++ b/brackenlane/limits.py
@@ -43,6 +43,8 @@
     # Time for which input is read after the last response, as a reset could destroy it; then closed.
     linger_timeout: float = 0.5
     max_linger_size: int = 1_048_576  # bytes read during the linger timeout; then closed
+    # Time in which a client reads nothing of its answer while memory is short; then closed.
+    slow_client_timeout: float = 0.5
     client_check_interval: float = 0.2  # time between two checks of the timeouts above
     # Time limit that a request may set; a longer one is an error. Retry-After is capped at this value.
     max_client_wait: float = 60.0
@@ -103,6 +105,14 @@
     max_log_lines: int = 10  # lines of one kind per window; more are counted but not written
     log_window: float = 1.0  # length of the window
 
+    # Memory
+    # Bytes of the allowed memory that are not given out: objects of a moment, and growth between checks.
+    memory_reserve: int = 1_048_576
+    min_memory_capacity: int = 786_432  # bytes given out if the allowed memory is less than the program needs
+    memory_check_interval: float = 0.2  # time between two measurements of the memory of this process
+    # Time in which a cache sends nothing of a response while memory is short; the connection is closed.
+    stalled_response_timeout: float = 1.0
+
     # Response cache
     response_cache_share: float = 1 / 8  # share of the allowed memory; the least recently used is evicted
 
--- a/brackenlane/net/admission_queue.py
+++ b/brackenlane/net/admission_queue.py
@@ -10,13 +10,14 @@
 from collections.abc import Callable
 
 from brackenlane.admission import controller
+from brackenlane.admission.load_metrics import Reason
 from brackenlane.clock import steady_time
 from brackenlane.core.engine import RequestEngine
 from brackenlane.net.answer_encoder import AnswerEncoder
 from brackenlane.net.client_connection import ClientConnection
 from brackenlane.net.front_context import FrontContext
 from brackenlane.net.http_codec import encode_answer
-from brackenlane.net.request_codec import TARGET, EncodedResponse, queue_class
+from brackenlane.net.request_codec import HEALTH_QUEUE_CLASS, TARGET, EncodedResponse, queue_class
 
 log = logging.getLogger(__name__)
 
@@ -53,11 +54,18 @@
         """Remove the request of a connection that is being closed."""
         self.admission.remove(connection, class_name, is_retry)
 
-    def must_reject(self, target: str, is_retry: bool) -> bool:
-        """Return whether the queue is full for this request and the response cache cannot serve it."""
-        return not self.admission.has_capacity_for(
-            queue_class(target), is_retry
-        ) and not self.has_cached_response(target)
+    def rejection_reason(self, target: str, is_retry: bool) -> Reason | None:
+        """Return why this request must be rejected at once; None if it may be queued.
+
+        A request that the response cache can serve is queued in any case, and so is a health check.
+        """
+        class_name = queue_class(target)
+        reason = None
+        if class_name != HEALTH_QUEUE_CLASS and self._context.memory.must_reject():
+            reason = Reason.MEMORY
+        elif not self.admission.has_capacity_for(class_name, is_retry):
+            reason = Reason.QUEUED
+        return None if reason is None or self.has_cached_response(target) else reason
 
     def has_cached_response(self, target: str) -> bool:
         """Return whether the response cache can serve this target; that is cheap and so never rejected."""
--- a/brackenlane/net/cache_codec.py
+++ b/brackenlane/net/cache_codec.py
@@ -169,6 +169,17 @@
         """Whether a response has been received in part."""
         return bool(self._buffer) or self._head is not None
 
+    @property
+    def buffer_size(self) -> int:
+        """Bytes of memory of what was received of a response."""
+        return self._buffer.__alloc__()
+
+    @property
+    def needed_size(self) -> int:
+        """Bytes of memory that the response being received needs until it is complete, as far as known."""
+        body_size = self._head[3] + len(LINE_END) if self._head is not None else 0
+        return max(self.buffer_size, body_size)
+
     def feed(self, data: bytes | bytearray) -> Iterator[CacheResponse]:
         """Add received bytes and yield the responses that they complete. Raises WireError."""
         self._buffer += data
--- a/brackenlane/net/cache_connection.py
+++ b/brackenlane/net/cache_connection.py
@@ -12,13 +12,16 @@
 from brackenlane.net import cache_codec
 from brackenlane.net.connection_context import ConnectionContext
 from brackenlane.net.dispatched_attempt import NEVER_SENT, DispatchedAttempt
-from brackenlane.net.poller import READ, WRITE
+from brackenlane.net.poller import GONE, READ, WRITE
 from brackenlane.net.socket_errors import is_temporary
 from brackenlane.routing.events import AttemptResult
 
 log = logging.getLogger(__name__)
 
-RECEIVE_BYTES = 262_144  # maximum number of bytes in one read from the socket
+RECEIVE_BYTES = 65_536  # maximum number of bytes in one read from the socket
+# Bytes of memory of a connection without a response: this object, its socket, and its entries in tables.
+CONNECTION_SIZE = 4_096
+PAST_ID_SIZE = 192  # bytes of memory of a remembered id
 
 
 class CacheConnection:
@@ -49,7 +52,9 @@
         self._last_activity = steady_time()
         self._response_began_at = 0.0  # Unix time since which a response has been incomplete; 0 if none is
         self._blocked_since = 0.0  # Unix time since which the socket accepts no bytes; 0 if it is writable
+        self._is_paused = False  # reading waits for memory
         context.poller.add(sock.fileno(), self._on_ready, READ, urgent=True)
+        self._count_memory()
 
     def can_carry(self, wire_id: str) -> bool:
         """Return whether a request with this id may be written on this connection.
@@ -125,7 +130,7 @@
                 self.close()
                 return
             self._blocked_since = steady_time()
-            self._context.poller.set_events(self._sock.fileno(), READ | WRITE)
+            self._poll()
 
     def _has_written_attempt(self) -> bool:
         return any(dispatched.attempt.written for dispatched in self._in_flight.values())
@@ -207,6 +212,11 @@
         now: Unix time; lag: seconds by which this check runs late, which do not count as the cache's silence.
         """
         limits = self._context.limits
+        if self._is_paused:
+            # Nothing is read, so the cache cannot be found silent; the attempts have deadlines of their own.
+            self._last_activity = now
+            self._response_began_at = now if self._response_began_at else 0.0
+            return
         self._last_activity += lag
         if self._blocked_since:
             self._blocked_since += lag
@@ -252,6 +262,8 @@
         self._context.poller.remove(self._sock.fileno())
         self._sock.close()
         self._context.quota.release()
+        self._context.memory.stop_waiting(self)
+        self._context.memory.resize(self, 0)
         self._to_write.clear()
         interrupted = list(self._in_flight.values())
         self._in_flight = {}
@@ -273,16 +285,20 @@
     def _on_ready(self, events: int) -> None:
         try:
             if events & ~WRITE:
-                self._receive()
+                self._receive(is_gone=bool(events & GONE))
             if events & WRITE and self.is_open:
                 self._blocked_since = 0.0
-                self._context.poller.set_events(self._sock.fileno(), READ)
+                self._poll()
                 self._flush()
+            self._count_memory()
         except Exception:  # attempts on this connection fail; other connections are not affected
             log.exception("unexpected error on a connection to a cache")
             self.close()
 
-    def _receive(self) -> None:
+    def _receive(self, is_gone: bool = False) -> None:
+        """Read and handle bytes; is_gone: the cache has closed, so only what the socket holds is to come."""
+        if not is_gone and not self._may_read():
+            return
         try:
             data = self._sock.recv(RECEIVE_BYTES)
         except OSError as error:
@@ -297,6 +313,56 @@
         self._last_activity = steady_time()
         self._is_probed = False
         self._track_open_response(self._parse(data))
+        self._count_memory()
+
+    def _may_read(self) -> bool:
+        """Return whether there is memory to read on; if not, reading waits for it.
+
+        Memory for the whole response is taken when its length is known, so that a response that was begun
+        can be completed whatever else is received.
+        """
+        if not self.is_open or self._is_paused:
+            return False
+        memory = self._context.memory
+        missing = self._parser.buffer_size + RECEIVE_BYTES - self._parser.needed_size
+        if missing <= 0 or memory.make_room(missing):
+            return self.is_open
+        if self.is_open:
+            self._is_paused = True
+            memory.wait(self, missing)
+            self._poll()
+        return False
+
+    def _poll(self) -> None:
+        """Poll the socket for what is waited for; its end is noticed in any case."""
+        events = 0 if self._is_paused else READ
+        self._context.poller.set_events(
+            self._sock.fileno(), events | WRITE if self._blocked_since else events
+        )
+
+    # Memory
+
+    def on_memory_available(self) -> None:
+        """Read on; the socket's bytes are handled by the next poll."""
+        self._is_paused = False
+        self._poll()
+
+    def release_memory(self) -> str:
+        """Close an idle connection, or one whose response has stalled; return what was done."""
+        if self.is_idle:
+            self.close()
+            return "closed an idle connection to a cache"
+        if self._is_paused or not self._parser.is_partial:
+            return ""
+        if steady_time() - self._last_activity <= self._context.limits.stalled_response_timeout:
+            return ""
+        self.close()
+        return "closed a connection to a cache whose response does not go on"
+
+    def _count_memory(self) -> None:
+        if self.is_open:
+            size = CONNECTION_SIZE + self._parser.needed_size + PAST_ID_SIZE * len(self._past_ids)
+            self._context.memory.resize(self, size + len(self._unsent))
 
     def _parse(self, data: bytes) -> bool:
         """Handle the responses that these bytes complete; return whether there was any."""
--- a/brackenlane/net/client_connection.py
+++ b/brackenlane/net/client_connection.py
@@ -10,9 +10,10 @@
 from typing import NamedTuple
 
 from brackenlane.admission.load_metrics import Reason
+from brackenlane.clock import steady_time
 from brackenlane.core.requests import PendingRequest
 from brackenlane.net.client_state import ClientState
-from brackenlane.net.client_transport import ClientDisconnectedError, ClientTransport
+from brackenlane.net.client_transport import RECEIVE_SIZE, ClientDisconnectedError, ClientTransport
 from brackenlane.net.connection_services import ConnectionServices
 from brackenlane.net.http_codec import (
     CONTINUE,
@@ -21,8 +22,8 @@
     encode_answer,
     read_simple_get,
 )
-from brackenlane.net.poller import READ, WRITE
-from brackenlane.net.request_codec import EncodedResponse, encode_fault, queue_class
+from brackenlane.net.poller import GONE, READABLE, WRITE
+from brackenlane.net.request_codec import HEALTH_QUEUE_CLASS, EncodedResponse, encode_fault, queue_class
 from brackenlane.net.request_input import RequestInput
 
 log = logging.getLogger(__name__)
@@ -30,6 +31,8 @@
 # A request line up to and including the name of the class.
 REQUEST_START = re.compile(rb"(?:GET|PUT) /api/v2/([^/?#]{1,64})/")
 MAX_READS_TO_END = 4  # reads that look for the end of the stream; unread data may precede it
+# Bytes of memory of a connection without input: this object, its socket, and its entries in tables.
+CONNECTION_SIZE = 2_048
 
 
 class QueueEntry(NamedTuple):
@@ -50,6 +53,7 @@
         "_handler",
         "_input",
         "_is_rejected_before_request",
+        "_last_progress_at",
         "_queue",
         "_queue_entry",
         "_request_arrived_after",
@@ -76,6 +80,7 @@
         # Rejected before its request was received; the rejection is counted once the request arrives.
         self._is_rejected_before_request = False
         self._closes_after_answer = False
+        self._last_progress_at = 0.0  # Unix time at which the client last took a part of its answer
         self.is_open = True
         self.request: PendingRequest | None = None  # request in flight
 
@@ -87,6 +92,7 @@
             return
         self._tracker.move(self, self._state, state)
         self._state = state
+        self._count_memory()
         if self._context.drain.is_closing and state in (ClientState.NEW, ClientState.IDLE):
             self._begin_close()
 
@@ -100,6 +106,8 @@
         self._tracker.forget(self, self._state)
         self._transport.close()
         self._input.close()
+        self._context.memory.stop_waiting(self)
+        self._context.memory.resize(self, 0)
         self._tracker.count_closed()
         if self.request:
             request = self.request
@@ -112,7 +120,7 @@
         at_once: close without a linger phase, because the descriptor is needed for another connection.
         """
         if self._state is not ClientState.CLOSING:
-            self.on_ready(READ)
+            self.on_ready(READABLE)
         if not self.is_open or self._state not in (
             ClientState.NEW,
             ClientState.IDLE,
@@ -130,7 +138,10 @@
             self.close()
             return
         state = self._state
-        self.on_ready(READ)
+        if self._transport.is_paused:  # a request may have arrived and not been read
+            self._refuse_for_memory()
+            return
+        self.on_ready(READABLE)
         if self.is_open and self._state is state:
             if state is ClientState.READING:
                 log.warning("client connection closed: the request was not completed in time")
@@ -143,6 +154,7 @@
         a reset, which could destroy an answer that the client has not received yet.
         """
         self._closes_after_answer = True
+        self._resume_reading()
         self._input.unrequested_bytes_left = self._context.limits.max_linger_size
         self.enter_state(ClientState.CLOSING)
         try:
@@ -155,10 +167,14 @@
     def on_ready(self, events: int) -> None:
         """Handle the epoll events of the socket."""
         try:
+            if events & GONE and self._state is not ClientState.CLOSING:
+                self.close()  # also if unread bytes precede the end: no answer can be delivered
+                return
             if events & WRITE and self._transport.has_unsent:
                 self._flush()
             if events & ~WRITE and self.is_open:
                 self._receive()
+            self._count_memory()
         except Exception:  # a failure on one connection must not affect the others
             log.exception("unexpected error on a client's connection")
             self.close()
@@ -169,12 +185,14 @@
         earliest_arrival: Unix time after which the data arrived.
         """
         self._earliest_arrival = earliest_arrival
-        self.on_ready(READ)
+        self.on_ready(READABLE)
         self._earliest_arrival = math.inf
 
     def is_client_connected(self) -> bool:
         """Return whether the client is still connected; reads the socket to detect an end of stream."""
         try:
+            if self.is_open and self._transport.has_ended():
+                self.close()
             for _ in range(MAX_READS_TO_END):
                 if not self.is_open or not self._receive():
                     break
@@ -185,6 +203,8 @@
 
     def _receive(self) -> bool:
         """Receive and handle data; return whether there was data or an end of stream."""
+        if not self._may_read():
+            return False
         data = self._transport.receive()
         if data is None:
             return False
@@ -194,6 +214,21 @@
             self.close()  # the client has disconnected, so no answer can be delivered
         return True
 
+    def _may_read(self) -> bool:
+        """Return whether there is memory for more input; if not, reading waits for it."""
+        if self._state is ClientState.CLOSING or self._input.has_overflowed:
+            return True  # the bytes are discarded
+        if self._context.memory.make_room(RECEIVE_SIZE):
+            return self.is_open
+        if self.is_open:
+            self._transport.pause_reading()
+            self._context.memory.wait(self, RECEIVE_SIZE)
+        return False
+
+    def _resume_reading(self) -> None:
+        self._context.memory.stop_waiting(self)
+        self._transport.resume_reading()
+
     def _on_data(self, data: bytes) -> None:
         if self._state is ClientState.CLOSING:
             self._discard(data)
@@ -229,8 +264,9 @@
     # The queue
 
     def _queue_unparsed(self, data: bytes, target: str, is_retry: bool) -> None:
-        if self._queue.must_reject(target, is_retry) and not self._context.drain.ends_connections:
-            self._context.figures.count_rejected(Reason.QUEUED)
+        reason = self._queue.rejection_reason(target, is_retry)
+        if reason is not None and not self._context.drain.ends_connections:
+            self._context.figures.count_rejected(reason)
             self._class_name = queue_class(target)
             self._reject_unparsed()
             return
@@ -251,7 +287,19 @@
         self._queue.enqueue(self, *self._queue_entry, since)
 
     def serve(self, since: float) -> None:
-        """Serve the queued request; since: Unix time from which it has waited."""
+        """Serve the queued request, or reject it if memory is short; since: Unix time of its arrival."""
+        if self._is_served_without_memory() or not self._context.memory.must_reject():
+            self._serve(since)
+        else:
+            self._reject_queued(Reason.MEMORY, steady_time())
+
+    def _is_served_without_memory(self) -> bool:
+        target = self._input.target
+        if target and self._queue.has_cached_response(target):
+            return True
+        return self._class_name == HEALTH_QUEUE_CLASS
+
+    def _serve(self, since: float) -> None:
         parsed = self._next_request()
         if parsed is None:
             self._process_input()
@@ -271,9 +319,13 @@
         """Reject the queued request; one that is held unparsed is rejected without parsing it."""
         target = self._input.target
         if target and self._queue.has_cached_response(target):
-            self.serve(now)
-            return
-        self._context.figures.count_rejected(Reason.QUEUED)
+            self._serve(now)
+        else:
+            self._reject_queued(Reason.QUEUED, now)
+
+    def _reject_queued(self, reason: Reason, now: float) -> None:
+        target = self._input.target
+        self._context.figures.count_rejected(reason)
         if target and not self._context.drain.ends_connections:
             self._input.discard_unparsed()
             self._queue_entry = None
@@ -292,6 +344,55 @@
         self._closes_after_answer = True
         self.answer(self._queue.encode_rejection())
 
+    # Memory
+
+    def on_memory_available(self) -> None:
+        """Read on; the sockets's bytes are handled by the next poll."""
+        self._transport.resume_reading()
+
+    def release_memory(self) -> str:
+        """Free memory without losing a request that may have run; return what was done, "" if nothing was."""
+        match self._state:
+            case ClientState.READING:
+                self._refuse_for_memory()
+                return "rejected a request that was received in part"
+            case ClientState.IDLE | ClientState.CLOSING:
+                self.close_if_idle(at_once=True)
+                return "" if self.is_open else "closed a client connection without a request"
+            case ClientState.ACTIVE if self._queue_entry and self._class_name != HEALTH_QUEUE_CLASS:
+                self._refuse_for_memory()
+                return "rejected a queued request"
+            case ClientState.WRITING if self._is_stalled():
+                self.close()
+                return "closed the connection of a client that does not read its answer"
+        return self._discard_following()
+
+    def _is_stalled(self) -> bool:
+        return steady_time() - self._last_progress_at > self._context.limits.slow_client_timeout
+
+    def _discard_following(self) -> str:
+        if not self._input.has_following:
+            return ""
+        self._input.discard_following()
+        self._count_memory()
+        return "discarded what a client sent behind its request"
+
+    def _refuse_for_memory(self) -> None:
+        """Reject a request that has not been accepted, and close the connection after that."""
+        self._context.figures.count_rejected(Reason.MEMORY)
+        if self._queue_entry is not None:
+            self._queue.remove(self, *self._queue_entry)
+            self._queue_entry = None
+        self._input.close()
+        self._closes_after_answer = True
+        self.enter_state(ClientState.ACTIVE)
+        self.answer(self._queue.encode_rejection())
+
+    def _count_memory(self) -> None:
+        if self.is_open:
+            size = CONNECTION_SIZE + self._input.held_size + self._transport.unsent_size
+            self._context.memory.resize(self, size)
+
     def _reject_unparsed(self) -> None:
         """Send the encoded rejection and keep the connection open."""
         self._input.begin_request()
@@ -346,6 +447,7 @@
             self.enter_state(ClientState.WRITING)
         else:
             self._on_answer_sent()
+        self._count_memory()
 
     def _on_answer_sent(self) -> None:
         # The input may also have overflowed while the answer was being sent.
@@ -357,14 +459,18 @@
     def _send(self, head: bytes, body: bytes = b"") -> None:
         try:
             self._transport.send(head, body)
+            self._last_progress_at = steady_time()
         except ClientDisconnectedError:
             self.close()
 
     def _flush(self) -> None:
+        unsent_before = self._transport.unsent_bytes
         try:
             is_sent = self._transport.flush()
         except ClientDisconnectedError:
             self.close()
             return
+        if self._transport.unsent_bytes < unsent_before:
+            self._last_progress_at = steady_time()
         if is_sent and self._state is ClientState.WRITING:
             self._on_answer_sent()
--- a/brackenlane/net/client_transport.py
+++ b/brackenlane/net/client_transport.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import select
 import socket
 
-from brackenlane.net.poller import READ, WRITE, Poller
+from brackenlane.net.poller import HANG_UP, READ, WRITE, Poller
 from brackenlane.net.socket_errors import is_temporary
 
 RECEIVE_SIZE = 16_384  # bytes
@@ -17,18 +18,25 @@
 class ClientTransport:
     """Owns a client's socket and the unsent rest of an answer."""
 
-    __slots__ = ("_poller", "_sock", "_unsent")
+    __slots__ = ("_poller", "_sock", "_unsent", "is_paused", "unsent_size")
 
     def __init__(self, sock: socket.socket, poller: Poller) -> None:
         self._sock = sock
         self._poller = poller
-        self._unsent = memoryview(b"")
+        self._unsent: list[memoryview] = []
+        self.unsent_size = 0  # bytes of memory of the answer, until its last byte is sent
+        self.is_paused = False  # whether nothing is read
 
     @property
     def has_unsent(self) -> bool:
         """Whether a part of the answer is still to be sent."""
         return bool(self._unsent)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Number of bytes of the answer that are still to be sent."""
+        return sum(map(len, self._unsent))
+
     def receive(self) -> bytes | None:
         """Return received bytes, None if there are none, or b"" if the client has disconnected."""
         try:
@@ -36,38 +44,59 @@
         except OSError as error:
             return None if is_temporary(error) else b""
 
+    def has_ended(self) -> bool:
+        """Return whether the client has disconnected, also if unread data precedes the end."""
+        poll = select.poll()
+        poll.register(self._sock.fileno(), select.POLLRDHUP)
+        return bool(poll.poll(0))
+
+    def pause_reading(self) -> None:
+        """Read nothing more; only the end of the connection is still noticed."""
+        if not self.is_paused:
+            self.is_paused = True
+            self._poll()
+
+    def resume_reading(self) -> None:
+        """Read again."""
+        if self.is_paused:
+            self.is_paused = False
+            self._poll()
+
+    def _poll(self) -> None:
+        events = HANG_UP if self.is_paused else READ
+        self._poller.set_events(self._sock.fileno(), events | WRITE if self._unsent else events)
+
     def send(self, head: bytes, body: bytes = b"") -> None:
         """Send what the socket accepts now; `flush` sends the rest once the socket is writable.
 
         Raises ClientDisconnectedError.
         """
-        try:
-            sent = self._sock.sendmsg((head, body)) if body else self._sock.send(head)
-        except OSError as error:
-            if not is_temporary(error):
-                raise ClientDisconnectedError(error.strerror) from error
-            sent = 0
-        if sent < len(head) + len(body):
-            self._unsent = memoryview(head + body)[sent:]
-            self._poller.set_events(self._sock.fileno(), READ | WRITE)
+        parts = [memoryview(part) for part in (head, body) if part]
+        self._unsent = _after(parts, self._send(parts))
+        if self._unsent:
+            self.unsent_size = len(head) + len(body)
+            self._poll()
 
     def flush(self) -> bool:
         """Continue sending; return whether the answer is now sent completely.
 
         Raises ClientDisconnectedError.
         """
+        self._unsent = _after(self._unsent, self._send(self._unsent))
+        if self._unsent:
+            return False
+        self.unsent_size = 0
+        self._poll()
+        return True
+
+    def _send(self, parts: list[memoryview]) -> int:
+        """Return how many bytes the socket accepted. Raises ClientDisconnectedError."""
         try:
-            sent = self._sock.send(self._unsent)
+            return self._sock.sendmsg(parts)
         except OSError as error:
             if is_temporary(error):
-                return False
+                return 0
             raise ClientDisconnectedError(error.strerror) from error
-        self._unsent = self._unsent[sent:]
-        if self._unsent:
-            return False
-        self._unsent = memoryview(b"")  # drops the reference to the answer's memory
-        self._poller.set_events(self._sock.fileno(), READ)
-        return True
 
     def end_sending(self) -> None:
         """Shut down the sending half; the client may still send. Raises ClientDisconnectedError."""
@@ -80,3 +109,14 @@
         """Stop polling the socket and close it."""
         self._poller.remove(self._sock.fileno())
         self._sock.close()
+        self._unsent = []
+
+
+def _after(parts: list[memoryview], sent: int) -> list[memoryview]:
+    """Return what is left of the parts after so many bytes; they are not copied."""
+    rest: list[memoryview] = []
+    for part in parts:
+        if sent < len(part):
+            rest.append(part[sent:])
+        sent = max(0, sent - len(part))
+    return rest
--- a/brackenlane/net/connection_context.py
+++ b/brackenlane/net/connection_context.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from brackenlane.core.membership_view import MembershipView
+from brackenlane.core.memory_budget import MemoryBudget
 from brackenlane.core.requests import Attempt, AttemptReply
 from brackenlane.core.timers import Timers
 from brackenlane.limits import Limits
@@ -59,3 +60,4 @@
     count_written: CountWrittenAttempt
     quota: ConnectionQuota
     settings: Settings
+    memory: MemoryBudget = field(default_factory=MemoryBudget)
--- a/brackenlane/net/connection_pools.py
+++ b/brackenlane/net/connection_pools.py
@@ -7,6 +7,7 @@
 from brackenlane.clock import steady_time
 from brackenlane.config import Endpoint
 from brackenlane.core.membership_view import MembershipView
+from brackenlane.core.memory_budget import MemoryBudget
 from brackenlane.core.requests import Attempt
 from brackenlane.core.timers import Timer, Timers
 from brackenlane.limits import Limits
@@ -35,6 +36,7 @@
         poller: Poller,
         timers: Timers,
         count_written: CountWrittenAttempt = lambda _: None,
+        memory: MemoryBudget | None = None,
     ) -> None:
         quota = ConnectionQuota(limits.max_cache_connections)
         quota.close_idle = self._close_longest_idle
@@ -47,6 +49,7 @@
             count_written,
             quota,
             settings,
+            memory or MemoryBudget(),
         )
         self._endpoints: dict[str, Endpoint] = {}
         self._pools: dict[str, ConnectionPool] = {}
--- a/brackenlane/net/connection_services.py
+++ b/brackenlane/net/connection_services.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
+from brackenlane.admission.load_metrics import Reason
 from brackenlane.core.requests import PendingRequest
 from brackenlane.net.client_state import ClientState
 from brackenlane.net.front_context import FrontContext
@@ -42,8 +43,8 @@
     def remove(self, connection: ClientConnection, class_name: str, is_retry: bool) -> None:
         """Remove a request."""
 
-    def must_reject(self, target: str, is_retry: bool) -> bool:
-        """Return whether the queue is full for this request and the response cache cannot serve it."""
+    def rejection_reason(self, target: str, is_retry: bool) -> Reason | None:
+        """Return why this request must be rejected at once; None if it may be queued."""
 
     def has_cached_response(self, target: str) -> bool:
         """Return whether the response cache can serve this target."""
--- a/brackenlane/net/connection_table.py
+++ b/brackenlane/net/connection_table.py
@@ -10,7 +10,7 @@
 
 from brackenlane.clock import steady_time
 from brackenlane.limits import Limits
-from brackenlane.net.client_connection import ClientConnection
+from brackenlane.net.client_connection import CONNECTION_SIZE, ClientConnection
 from brackenlane.net.client_state import ClientState
 from brackenlane.net.front_context import FrontContext
 
@@ -62,6 +62,11 @@
         """Whether the connection limit is reached."""
         return self._count >= self._capacity
 
+    @property
+    def has_memory(self) -> bool:
+        """Whether there is memory for another connection."""
+        return self._context.memory.make_room(CONNECTION_SIZE)
+
     @property
     def is_rejection_limit_reached(self) -> bool:
         """Whether the extra connections for answering 503 to clients beyond the limit are in use as well."""
--- a/brackenlane/net/front_context.py
+++ b/brackenlane/net/front_context.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from brackenlane.admission.load_metrics import LoadMetrics
+from brackenlane.core.memory_budget import MemoryBudget
 from brackenlane.core.metrics import RequestMetrics
 from brackenlane.limits import Limits
 from brackenlane.net.drain_state import DrainState
@@ -20,3 +21,4 @@
     metrics: RequestMetrics
     figures: LoadMetrics = field(default_factory=LoadMetrics)
     drain: DrainState = field(default_factory=DrainState)
+    memory: MemoryBudget = field(default_factory=MemoryBudget)
--- a/brackenlane/net/http_front.py
+++ b/brackenlane/net/http_front.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from brackenlane.admission.load_metrics import Reason
 from brackenlane.clock import steady_time
 from brackenlane.core.claims import ClaimResult, ClaimStore
 from brackenlane.core.engine import RequestEngine
@@ -42,7 +43,7 @@
         self._core = core
         self.poller = poller
         self.metrics = metrics or RequestMetrics(c.name for c in core.settings.classes)
-        self._context = FrontContext(limits, poller, self.metrics)
+        self._context = FrontContext(limits, poller, self.metrics, memory=core.memory)
         self.figures = self._context.figures
         encoder = AnswerEncoder(core, self._context)
         self.table = ConnectionTable(self._context)
@@ -63,6 +64,11 @@
         """Number of accepted requests that are not finished."""
         return self.table.active
 
+    @property
+    def memory_rejection_count(self) -> int:
+        """Number of requests rejected because memory was short, up to the last complete period."""
+        return self._context.figures.shed[Reason.MEMORY]
+
     @property
     def is_serving(self) -> bool:
         """Whether clients are accepted and can be served."""
@@ -155,3 +161,4 @@
         if snapshot and snapshot.is_shedding:
             log.warning("short of CPU: %s", snapshot.summary())
         self.table.expire_overdue(now)
+        self._core.memory.retry_relief()
--- a/brackenlane/net/listener.py
+++ b/brackenlane/net/listener.py
@@ -91,33 +91,36 @@
         return True
 
     def admit(self, sock: socket.socket, earliest_arrival: float = math.inf) -> None:
-        """Serve a new connection, or reject it if the connection limit is reached.
+        """Serve a new connection, or reject it if the connection limit is reached or memory is short.
 
         earliest_arrival: Unix time since which it may have been waiting to be accepted or polled.
         Raises OSError if the socket cannot be polled.
         """
-        is_rejected = self._table.is_full
-        if is_rejected:
-            if self._table.close_one_without_request():
-                is_rejected = False
-            elif self._table.is_rejection_limit_reached:
-                self._context.figures.count_rejected(Reason.FULL)
-                sock.close()
-                return
+        reason = self._rejection_reason()
+        if reason is not None and self._table.is_rejection_limit_reached:
+            self._context.figures.count_rejected(reason)
+            sock.close()
+            return
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         client = ClientConnection(sock, self._services)
         self._context.poller.add(sock.fileno(), client.on_ready)
         self._table.add()
         client.enter_state(ClientState.NEW)
-        if is_rejected:  # an answer is sent, because a connection closed without one gives no reason
-            self._context.figures.count_rejected(Reason.FULL)
+        if reason is not None:  # an answer is sent, because a connection closed without one gives no reason
+            self._context.figures.count_rejected(reason)
             client.reject_connection()
         elif earliest_arrival < self._context.poller.polled_at:
             # The time limit of the client's request may have been running since then, so its data is read now
             # and not in the next polling round.
             client.read_delayed_input(earliest_arrival)
 
+    def _rejection_reason(self) -> Reason | None:
+        """Return why a new connection cannot be served; None if it can. May close another one for it."""
+        if self._table.is_full and not self._table.close_one_without_request():
+            return Reason.FULL
+        return None if self._table.has_memory else Reason.MEMORY
+
     def _on_ready(self, listening: socket.socket, _: int) -> None:
         self._accept_batch(listening)
 
--- a/brackenlane/net/poller.py
+++ b/brackenlane/net/poller.py
@@ -29,7 +29,10 @@
 
 log = logging.getLogger(__name__)
 
-READ = select.EPOLLIN | select.EPOLLRDHUP
+HANG_UP = select.EPOLLRDHUP  # the peer has closed its half of the connection
+READABLE = select.EPOLLIN
+READ = READABLE | HANG_UP
+GONE = HANG_UP | select.EPOLLHUP | select.EPOLLERR  # the peer has closed or reset the connection
 WRITE = select.EPOLLOUT
 Handler = Callable[[int], None]
 MIN_STOP_TIME = 0.05  # seconds between two polls, above which the process counts as having been stopped
--- a/brackenlane/net/request_input.py
+++ b/brackenlane/net/request_input.py
@@ -83,6 +83,11 @@
         """Set the limit for bytes behind the next request; those that have arrived already count."""
         self.unrequested_bytes_left = self._max_following_size - self._parser.unparsed_size
 
+    @property
+    def has_following(self) -> bool:
+        """Whether bytes behind the request that is held or in flight are kept."""
+        return len(self._unparsed) > self._unparsed_request_size or self._parser.has_following
+
     @property
     def held_size(self) -> int:
         """Bytes of memory that the requests occupy."""
--- a/brackenlane/ops/handover_log.py
+++ b/brackenlane/ops/handover_log.py
@@ -112,6 +112,13 @@
         self.write_failures += 1
         return HandoverLogError(reason)
 
+    def file_size(self) -> int:
+        """Return the size of the file in bytes; 0 if it cannot be read."""
+        try:
+            return self._file.size()
+        except OSError:
+            return 0
+
     def compact(self) -> None:
         """Replace the file by a summary if it has grown or was deleted, unless another process is alive.
 
--- a/brackenlane/ops/maintenance_orders.py
+++ b/brackenlane/ops/maintenance_orders.py
@@ -74,14 +74,23 @@
             self._engine.membership.apply(event, steady_time())
             self._engine.post(event)
 
-    def metrics(self, counts: RequestMetrics, active: int, faults: Mapping[str, int]) -> bytes:
-        """Return all metrics in the text format. active: requests in flight. faults: fault counts by name."""
+    def metrics(
+        self,
+        counts: RequestMetrics,
+        active: int,
+        faults: Mapping[str, int],
+        levels: Mapping[str, int] | None = None,
+    ) -> bytes:
+        """Return all metrics in the text format.
+
+        active: requests in flight; faults: counters by name; levels: further current values by name.
+        """
         listed = self._maintenance.listed
         ejected_servers = self._engine.routers.ejected_servers()
         ejected = sum(
             server in ejected_servers or self._maintenance.is_out_of_service(server) for server in listed
         )
-        return expose(counts, Gauges(active, len(listed), ejected), faults)
+        return expose(counts, Gauges(active, len(listed), ejected), faults, levels)
 
 
 def _make_record(action: MaintenanceAction, server: str, at: float) -> MaintenanceEntered | MaintenanceExited:
--- a/brackenlane/platform_router.py
+++ b/brackenlane/platform_router.py
@@ -17,7 +17,9 @@
 from brackenlane.config import Config, ConfigError
 from brackenlane.core.engine import RequestEngine
 from brackenlane.core.engine_config import EngineConfig
+from brackenlane.core.memory_budget import MemoryBudget
 from brackenlane.core.metrics import RequestMetrics
+from brackenlane.core.process_memory import MemoryMonitor, return_freed_blocks
 from brackenlane.core.response_cache import ResponseCache
 from brackenlane.lifecycle import SignalWatcher, open_listening_socket, serve_until_signal
 from brackenlane.limits import Limits
@@ -48,6 +50,7 @@
 
 def run(config: Config) -> None:
     """Run a router until it has shut down. Raises ConfigError, possibly within an exception group."""
+    return_freed_blocks()
     trio.run(serve, config, derive_limits(config))
 
 
@@ -71,6 +74,7 @@
     handover: Handover | None  # None if there is no admin API or no handover log
     change_log: ChangeLogClient
     clock_steps: ClockStepMonitor
+    memory_monitor: MemoryMonitor
 
 
 async def serve(config: Config, limits: Limits) -> None:
@@ -86,6 +90,7 @@
             )
             nursery.start_soon(Reloader(config, parts).run, sighups)
             _check_clock(parts)
+            _check_memory(parts)
             await _serve_clients(config, parts)
             if parts.handover:
                 parts.handover.close()
@@ -99,16 +104,31 @@
     parts.engine.timers.call_at(steady_time() + interval, _check_clock, parts)
 
 
+def _check_memory(parts: RouterParts) -> None:
+    """Measure the memory of the process, and schedule the next check."""
+    parts.memory_monitor.check()
+    interval = parts.front.limits.memory_check_interval
+    parts.engine.timers.call_at(steady_time() + interval, _check_memory, parts)
+
+
 def build(config: Config, limits: Limits, poller: Poller) -> RouterParts:
     """Create the components, and open the admin API if one is configured. Raises ConfigError."""
+    memory = MemoryBudget()
     engine = RequestEngine(
-        _engine_config(config, limits),
+        _engine_config(config, limits, memory),
         lambda attempt: pools.dispatch(attempt),
     )
     engine.timers.before_due_calls = poller.handle_urgent
     counts = RequestMetrics(cls.name for cls in config.settings.classes)
     pools = ConnectionPools(
-        engine.membership, limits, config.settings, engine.report, poller, engine.timers, counts.count_attempt
+        engine.membership,
+        limits,
+        config.settings,
+        engine.report,
+        poller,
+        engine.timers,
+        counts.count_attempt,
+        memory,
     )
     front = HttpFront(engine, limits, poller, metrics=counts)
     handover_log = open_handover_log(config, limits) if config.admin else None
@@ -124,12 +144,17 @@
             "accept_shortages": front.listener.shortages,
             "handover_write_failures": handover_log.write_failures if handover_log else 0,
             "handover_read_failures": handover.read_failures if handover else 0,
+            "memory_releases": memory.release_count,
+            "memory_waits": memory.wait_count,
+            "memory_rejections": front.memory_rejection_count,
         }
 
     if config.admin:
         routes = AdminRoutes(
             is_serving=lambda: front.is_serving,
-            metrics=lambda: orders.metrics(front.metrics, front.active, fault_counts()),
+            metrics=lambda: orders.metrics(
+                front.metrics, front.active, fault_counts(), memory_monitor.metrics()
+            ),
             order=orders.order,
         )
         admin_api = AdminApi(poller, engine.timers, limits, routes)
@@ -142,7 +167,16 @@
         engine.timers,
         random.Random(config.seed),
     )
-    return RouterParts(poller, engine, pools, front, orders, handover, change_log, clock_steps)
+    memory_monitor = MemoryMonitor(
+        memory,
+        config.memory_mb * BYTES_PER_MB,
+        limits.memory_reserve,
+        limits.min_memory_capacity,
+        handover_log.file_size if handover_log else lambda: 0,
+    )
+    return RouterParts(
+        poller, engine, pools, front, orders, handover, change_log, clock_steps, memory_monitor
+    )
 
 
 def open_handover_log(config: Config, limits: Limits) -> HandoverLog | None:
@@ -164,10 +198,10 @@
         return None
 
 
-def _engine_config(config: Config, limits: Limits) -> EngineConfig:
+def _engine_config(config: Config, limits: Limits, memory: MemoryBudget) -> EngineConfig:
     """Return the configuration of the request engine."""
     return EngineConfig(
-        config.settings, config.seed, limits, config.transfer_rate, _response_cache(config, limits)
+        config.settings, config.seed, limits, config.transfer_rate, _response_cache(config, limits), memory
     )
 
 
@@ -249,7 +283,9 @@
         if all(getattr(new, field) == getattr(self._config, field) for field in ENGINE_FIELDS):
             return
         limits = derive_limits(new)
-        self._parts.engine.reconfigure(_engine_config(new, limits))
+        engine = self._parts.engine
+        engine.reconfigure(_engine_config(new, limits, engine.memory))
+        self._parts.memory_monitor.limit = new.memory_mb * BYTES_PER_MB
         self._parts.pools.reconfigure(limits, new.settings)
         self._parts.front.reconfigure(limits)
         log.info("SIGHUP: other settings hold")
--- a/tests/test_architecture_page.py
+++ b/tests/test_architecture_page.py
@@ -18,7 +18,9 @@
 import pytest
 
 import brackenlane
+from brackenlane.core.memory_budget import MemoryBudget
 from brackenlane.core.metrics import Gauges, RequestMetrics, expose
+from brackenlane.core.process_memory import MemoryMonitor
 from brackenlane.limits import Limits
 from brackenlane.net.change_log import ChangeLogCounters
 
@@ -63,6 +65,9 @@
     "accept_shortages",
     "handover_write_failures",
     "handover_read_failures",
+    "memory_releases",
+    "memory_waits",
+    "memory_rejections",
 )
 
 
@@ -93,7 +98,8 @@
     """Return whether a quoted name exists; its form tells the kind of name."""
     if METRIC.fullmatch(text):
         faults = {**ChangeLogCounters().by_name(), **dict.fromkeys(OTHER_FAULT_COUNTERS, 0)}
-        samples = expose(RequestMetrics(["any"]), Gauges(), faults).decode()
+        levels = MemoryMonitor(MemoryBudget(), 0, 0, 0).metrics()
+        samples = expose(RequestMetrics(["any"]), Gauges(), faults, levels).decode()
         return re.search(rf"^{text}\b", samples, re.M) is not None
     if VARIABLE.fullmatch(text):
         return text in source_literals()[0]
--- /dev/null
+++ b/tests/test_memory_budget.py
@@ -0,0 +1,109 @@
+"""The memory budget: its sum stays within the capacity, the heaviest is freed first, waiters take turns."""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import dataclass, field
+
+import pytest
+
+from brackenlane.core import process_memory
+from brackenlane.core.memory_budget import RELIEF_SHARE, SHORT_SHARE, MemoryBudget
+from brackenlane.core.process_memory import MemoryMonitor
+
+CAPACITY = 1_000
+
+
+@dataclass(eq=False)
+class Holder:
+    """A holder whose memory can be freed, or not."""
+
+    budget: MemoryBudget
+    name: str
+    size: int
+    can_free: bool = True
+    released: list[str] = field(default_factory=list)
+    woken: int = 0
+
+    def __post_init__(self) -> None:
+        self.budget.resize(self, self.size)
+
+    def release_memory(self) -> str:
+        """Free all of it if that is allowed."""
+        if not self.can_free:
+            return ""
+        self.released.append(self.name)
+        self.budget.resize(self, 0)
+        return "closed it"
+
+    def on_memory_available(self) -> None:
+        """Count the call."""
+        self.woken += 1
+
+
+def test_heaviest_holder_is_freed_first_and_no_more_than_needed(caplog: pytest.LogCaptureFixture) -> None:
+    budget = MemoryBudget(CAPACITY)
+    order: list[str] = []
+    for name, size in (("small", 200), ("large", 450), ("medium", 340)):
+        Holder(budget, name, size, released=order)
+    with caplog.at_level(logging.WARNING):
+        assert budget.make_room(100)
+    assert order == ["large"]
+    assert budget.held == 540 <= RELIEF_SHARE * CAPACITY
+    assert budget.release_count == 1
+    assert "closed it" in caplog.text
+
+
+def test_holder_that_may_have_run_is_kept_and_its_reader_waits() -> None:
+    budget = MemoryBudget(CAPACITY)
+    running = Holder(budget, "running", 950, can_free=False)
+    first, second = Holder(budget, "first", 10), Holder(budget, "second", 10)
+    assert not budget.make_room(100)
+    assert budget.size_of(running) == 950
+    budget.wait(first, 300)
+    budget.wait(second, 300)
+    assert budget.must_reject()
+    budget.resize(running, 600)
+    assert (first.woken, second.woken) == (1, 0)
+    budget.resize(running, 100)
+    assert (first.woken, second.woken) == (1, 1)
+    assert not budget.must_reject()
+    assert budget.wait_count == 2
+
+
+def test_new_requests_are_rejected_only_if_the_heaviest_cannot_be_freed() -> None:
+    budget = MemoryBudget(CAPACITY)
+    crowd = Holder(budget, "crowd", int(SHORT_SHARE * CAPACITY) + 1)
+    assert budget.is_short
+    assert not budget.must_reject()
+    assert crowd.released == ["crowd"]
+
+
+def test_failed_relief_is_not_repeated_until_time_has_passed() -> None:
+    budget = MemoryBudget(CAPACITY)
+    holder = Holder(budget, "running", 990, can_free=False)
+    assert not budget.make_room(100)
+    holder.can_free = True
+    assert not budget.make_room(100)
+    budget.retry_relief()
+    assert budget.make_room(100)
+
+
+@pytest.mark.parametrize(
+    ("resident_mb", "held_mb", "capacity_mb"),
+    [(30, 0, 61), (80, 50, 61), (80, 10, 21), (20, 0, 61), (99, 0, 0.5)],
+)
+def test_capacity_is_what_the_process_leaves_of_its_settings(
+    monkeypatch: pytest.MonkeyPatch, resident_mb: int, held_mb: int, capacity_mb: float
+) -> None:
+    """Memory that is resident and not counted is taken off; what is held is not taken off twice."""
+    mb = 2**20
+    resident = 30 * mb
+    monkeypatch.setattr(process_memory, "read_resident_size", lambda: resident)
+    monkeypatch.setattr(process_memory, "_trim_heap", lambda: None)
+    budget = MemoryBudget()
+    monitor = MemoryMonitor(budget, 92 * mb, mb, mb // 2)
+    Holder(budget, "all", held_mb * mb)
+    resident = resident_mb * mb
+    monitor.check()
+    assert budget.capacity == capacity_mb * mb
