--- a/brackenlane/net/client_connection.py
+++ b/brackenlane/net/client_connection.py
@@ -30,7 +30,7 @@
 
 # A request line up to and including the name of the class.
 REQUEST_START = re.compile(rb"(?:GET|PUT) /api/v2/([^/?#]{1,64})/")
-MAX_READS_TO_END = 4  # reads that look for the end of the stream; unread data may precede it
+MAX_READS_TO_END = 16  # reads that look for the end of the stream; unread data may precede it
 # Bytes of memory of a connection without input: this object, its socket, and its entries in tables.
 CONNECTION_SIZE = 2_048
 
@@ -189,21 +189,29 @@
         self._earliest_arrival = math.inf
 
     def is_client_connected(self) -> bool:
-        """Return whether the client is still connected; reads the socket to detect an end of stream."""
+        """Return whether the client is still connected; reads the socket to detect an end of stream.
+
+        A client that has sent more than can be read now counts as disconnected: its end may lie behind that.
+        """
+        has_read_all = False
         try:
             if self.is_open and self._transport.has_ended():
                 self.close()
             for _ in range(MAX_READS_TO_END):
-                if not self.is_open or not self._receive():
+                has_read_all = not self.is_open or not self._receive()
+                if has_read_all:
                     break
         except Exception:  # the caller serves other requests, which a failure here must not affect
             log.exception("unexpected error on a client's connection")
             self.close()
-        return self.is_open
+        return self.is_open and has_read_all
 
     def _receive(self) -> bool:
         """Receive and handle data; return whether there was data or an end of stream."""
-        if not self._may_read():
+        is_closing = self._state is ClientState.CLOSING
+        if self._input.has_overflowed and not is_closing:
+            return self._receive_excess()
+        if not is_closing and not self._may_read():
             return False
         data = self._transport.receive()
         if data is None:
@@ -214,10 +222,17 @@
             self.close()  # the client has disconnected, so no answer can be delivered
         return True
 
+    def _receive_excess(self) -> bool:
+        """Receive bytes that are not kept; return whether there was data or an end of stream."""
+        count = self._transport.discard()
+        if count is None:
+            return False
+        if not count:
+            self.close()
+        return True
+
     def _may_read(self) -> bool:
         """Return whether there is memory for more input; if not, reading waits for it."""
-        if self._state is ClientState.CLOSING or self._input.has_overflowed:
-            return True  # the bytes are discarded
         if self._context.memory.make_room(RECEIVE_SIZE):
             return self.is_open
         if self.is_open:
--- a/brackenlane/net/client_transport.py
+++ b/brackenlane/net/client_transport.py
@@ -9,6 +9,7 @@
 from brackenlane.net.socket_errors import is_temporary
 
 RECEIVE_SIZE = 16_384  # bytes
+discarded = bytearray(65_536)  # receives the bytes that are not kept, of all clients
 
 
 class ClientDisconnectedError(Exception):
@@ -44,6 +45,13 @@
         except OSError as error:
             return None if is_temporary(error) else b""
 
+    def discard(self) -> int | None:
+        """Receive bytes that are not kept; return their number, None if there are none, 0 at the end."""
+        try:
+            return self._sock.recv_into(discarded)
+        except OSError as error:
+            return None if is_temporary(error) else 0
+
     def has_ended(self) -> bool:
         """Return whether the client has disconnected, also if unread data precedes the end."""
         poll = select.poll()
