--- a/brackenlane/limits.py
+++ b/brackenlane/limits.py
@@ -32,8 +32,10 @@
     max_client_connections: int = 400
     # Connections over the maximum that are answered with 503; any more are closed without being read.
     max_rejected_connections: int = 16
-    # Ids of writes kept so that none runs twice; the oldest id is discarded.
+    # Ids of writes kept so that none runs twice; the oldest id is discarded if it is old enough, else new
+    # writes are rejected.
     max_remembered_submits: int = 20_000
+    min_submit_memory: float = 60.0  # time for which the id of a write is kept in any case
     first_request_timeout: float = 2.5  # time from accept to the end of the first request; then closed
     # Idle time between requests; then closed. The platform's clients close after 4 s.
     client_idle_timeout: float = 5.0
--- a/brackenlane/net/http_front.py
+++ b/brackenlane/net/http_front.py
@@ -69,6 +69,11 @@
         """Number of requests rejected because memory was short, up to the last complete period."""
         return self._context.figures.shed[Reason.MEMORY]
 
+    @property
+    def submit_record_rejection_count(self) -> int:
+        """Number of writes rejected because the record of their ids was full."""
+        return self.intake.writes.rejection_count
+
     @property
     def is_serving(self) -> bool:
         """Whether clients are accepted and can be served."""
--- a/brackenlane/net/request_intake.py
+++ b/brackenlane/net/request_intake.py
@@ -114,9 +114,11 @@
         """Check a request for duplicates in this process, and claim a write among the router's processes."""
         if request.client_request_id in self._clients_by_request or request.client_request_id in self.writes:
             return ClaimResult.TAKEN
-        if request.must_run_once:
-            return self.writes.claim(request.client_request_id)
-        return ClaimResult.OURS
+        if not request.must_run_once:
+            return ClaimResult.OURS
+        if not self.writes.can_take(steady_time()):
+            return ClaimResult.UNKNOWN
+        return self.writes.claim(request.client_request_id)
 
     def _start(self, client: ClientConnection, request: PendingRequest) -> None:
         self._clients_by_request[request.client_request_id] = client
--- a/brackenlane/platform_router.py
+++ b/brackenlane/platform_router.py
@@ -144,6 +144,7 @@
             "accept_shortages": front.listener.shortages,
             "handover_write_failures": handover_log.write_failures if handover_log else 0,
             "handover_read_failures": handover.read_failures if handover else 0,
+            "submit_record_rejections": front.submit_record_rejection_count,
             "memory_releases": memory.release_count,
             "memory_waits": memory.wait_count,
             "memory_rejections": front.memory_rejection_count,
--- a/tests/test_architecture_page.py
+++ b/tests/test_architecture_page.py
@@ -65,6 +65,7 @@
     "accept_shortages",
     "handover_write_failures",
     "handover_read_failures",
+    "submit_record_rejections",
     "memory_releases",
     "memory_waits",
     "memory_rejections",
