Tables, handover log, frames and copies fit the memory of the settings

Tables that clients and operators fill by name were bounded by count alone, whatever memory_mb: 20,000 ids of writes (4.5 MB), 512 abandoned ids a connection (100 kB each), 4,000 cached orders of all caches (100 MB with 3,200 caches), 2 MB of handover log, copies up to an eighth of memory_mb although the program takes nine tenths of 32 MB. Found by reading every holder of docs/ARCHITECTURE.md. Limits.with_memory divides what is allowed, orders are bounded in bytes, copies take a third of what the program leaves at most, and files in TMPDIR are taken off. At 192 MB nothing is lowered but orders past 5.5 MB.

--- a/brackenlane/core/engine_config.py
+++ b/brackenlane/core/engine_config.py
@@ -7,6 +7,7 @@
 from brackenlane.core.memory_budget import MemoryBudget
 from brackenlane.core.response_cache import ResponseCache
 from brackenlane.limits import Limits
+from brackenlane.routing import Router
 from brackenlane.routing.settings import Settings
 
 
@@ -21,3 +22,7 @@
     response_cache: ResponseCache | None = None
     # Memory of the engine and its fronts; the one with which an engine is started remains in force.
     memory: MemoryBudget = field(default_factory=MemoryBudget)
+
+    def create_router(self) -> Router:
+        """Return a router with these settings, whose tables fit the limits."""
+        return Router(self.settings, self.seed, self.limits.max_routing_table_size)
--- a/brackenlane/core/message_processor.py
+++ b/brackenlane/core/message_processor.py
@@ -50,7 +50,7 @@
         self._clock = timers.clock
         self._post = post
         self._on_result = on_result
-        self.routers = RouterSet(config.settings, config.seed)
+        self.routers = RouterSet(config.create_router())
         self.requests = RequestTable(timers, self.routers.remove_idle, config.memory)
         self.cached_responses = CachedResponses(config.response_cache, config.memory)
         self._executor = ActionExecutor(self.requests, timers, dispatch, post)
@@ -61,7 +61,7 @@
 
         An invalid configuration raises an exception before anything is changed.
         """
-        router = Router(config.settings, config.seed)
+        router = config.create_router()
         members = tuple(self._membership.members.values())
         router.handle(Membership(MembershipKind.REMEMBERED, members), now)
         for purge in self._membership.purge_events(now):
--- a/brackenlane/core/process_memory.py
+++ b/brackenlane/core/process_memory.py
@@ -55,23 +55,14 @@
     counts, and of fragments of the heap. All but the third is measured and taken off.
     """
 
-    def __init__(
-        self,
-        budget: MemoryBudget,
-        limit: float,
-        reserve: int,
-        min_capacity: int,
-        file_size: Callable[[], int] = lambda: 0,
-    ) -> None:
-        """limit: bytes of memory that the settings allow; reserve: bytes that are never given out.
-
-        file_size: returns the bytes of files that count as memory.
-        """
+    def __init__(self, budget: MemoryBudget, limit: float, reserve: int, min_capacity: int) -> None:
+        """limit: bytes of memory that the settings allow; reserve: bytes that are never given out."""
         self._budget = budget
         self.limit = limit
         self._reserve = reserve
         self._min_capacity = min_capacity
-        self._file_size = file_size
+        self.file_size: Callable[[], int] = lambda: 0
+        """Returns the bytes of files that count as memory."""
         self.resident = read_resident_size()
         self._uncounted_at_start = self._uncounted()
         self._apply()
@@ -100,7 +91,7 @@
         }
 
     def _uncounted(self) -> int:
-        return max(0, self.resident - self._budget.held) + self._file_size()
+        return max(0, self.resident - self._budget.held) + self.file_size()
 
     def _apply(self) -> None:
         # What is held may lie in memory that was resident at the start, so that less seems to be uncounted.
--- a/brackenlane/core/router_set.py
+++ b/brackenlane/core/router_set.py
@@ -6,15 +6,14 @@
 from collections.abc import Iterator
 
 from brackenlane.routing import Router
-from brackenlane.routing.settings import Settings
 from brackenlane.routing.slow_start import TokenBucket
 
 
 class RouterSet:
     """The current and the retired routers; the router that starts a request makes all its decisions."""
 
-    def __init__(self, settings: Settings, seed: int) -> None:
-        self.current = Router(settings, seed)
+    def __init__(self, router: Router) -> None:
+        self.current = router
         self.retired: list[Router] = []
 
     def __iter__(self) -> Iterator[Router]:
--- a/brackenlane/limits.py
+++ b/brackenlane/limits.py
@@ -12,6 +12,18 @@
 DESCRIPTORS_PER_SERVER_CONNECTION = 96
 MIN_CONNECTIONS_PER_SERVER = 2
 MIN_CACHE_CONNECTIONS = 4
+BYTES_PER_MB = 2**20
+# Bytes of allowed memory for each byte of the handover log, of a frame of the change log and of the tables of
+# objects, and for each id of a write and of an abandoned request.
+MEMORY_PER_HANDOVER_LOG_BYTE = 64
+MEMORY_PER_FRAME_BYTE = 96
+MEMORY_PER_TABLE_BYTE = 16
+MEMORY_PER_SUBMIT_ID = 10_000
+MEMORY_PER_ABANDONED_ID = 262_144
+TABLE_SIZE_REDUCTION = BYTES_PER_MB  # subtracted from the tables' share, as the program takes most of little
+MIN_ROUTING_TABLE_SIZE = BYTES_PER_MB / 2
+MIN_ABANDONED_IDS = 64
+COMPACTIONS_PER_HANDOVER_LOG = 4
 RESPONSE_TIMEOUT_MARGIN = 0.5  # seconds added to the longest time limit for the last responses at shutdown
 
 
@@ -108,6 +120,8 @@
     log_window: float = 1.0  # length of the window
 
     # Memory
+    # Size of the tables of objects; the least recently used entry is dropped, or all cached orders.
+    max_routing_table_size: float = 11 * BYTES_PER_MB
     # Bytes of the allowed memory that are not given out: objects of a moment, and growth between checks.
     memory_reserve: int = 1_048_576
     min_memory_capacity: int = 786_432  # bytes given out if the allowed memory is less than the program needs
@@ -117,6 +131,8 @@
 
     # Response cache
     response_cache_share: float = 1 / 8  # share of the allowed memory; the least recently used is evicted
+    # Share of the memory that the process leaves at its start, if that is less.
+    response_cache_capacity_share: float = 1 / 3
 
     # Event loop and queues
     max_poll_events: int = 512  # events of clients handled before events of caches are polled again
@@ -214,6 +230,24 @@
             max_cache_connections=max(MIN_CACHE_CONNECTIONS, descriptors - others),
         )
 
+    def with_memory(self, memory: float) -> Limits:
+        """Return these limits with tables and files that fit so many bytes of allowed memory."""
+        log_size = int(min(self.max_handover_log_size, memory / MEMORY_PER_HANDOVER_LOG_BYTE))
+        table_size = memory / MEMORY_PER_TABLE_BYTE - TABLE_SIZE_REDUCTION
+        return replace(
+            self,
+            max_handover_log_size=log_size,
+            handover_log_compaction_size=min(
+                self.handover_log_compaction_size, log_size // COMPACTIONS_PER_HANDOVER_LOG
+            ),
+            max_remembered_submits=int(min(self.max_remembered_submits, memory / MEMORY_PER_SUBMIT_ID)),
+            max_change_log_frame=int(min(self.max_change_log_frame, memory / MEMORY_PER_FRAME_BYTE)),
+            max_routing_table_size=max(MIN_ROUTING_TABLE_SIZE, min(self.max_routing_table_size, table_size)),
+            max_abandoned_ids=int(
+                max(MIN_ABANDONED_IDS, min(self.max_abandoned_ids, memory / MEMORY_PER_ABANDONED_ID))
+            ),
+        )
+
     def with_settings(self, settings: Settings) -> Limits:
         """Return these limits with the times derived from the request classes and the site's settings."""
         objective = min(cls.latency_objective for cls in settings.classes)
--- a/brackenlane/platform_router.py
+++ b/brackenlane/platform_router.py
@@ -22,7 +22,7 @@
 from brackenlane.core.process_memory import MemoryMonitor, return_freed_blocks
 from brackenlane.core.response_cache import ResponseCache
 from brackenlane.lifecycle import SignalWatcher, open_listening_socket, serve_until_signal
-from brackenlane.limits import Limits
+from brackenlane.limits import BYTES_PER_MB, Limits
 from brackenlane.net.change_log import ChangeApplier, ChangeLogClient, ChangeLogSource
 from brackenlane.net.change_log_codec import Change, ChangeLogFormatError, read_configured_changes
 from brackenlane.net.connection_pools import ConnectionPools
@@ -36,7 +36,6 @@
 
 log = logging.getLogger(__name__)
 
-BYTES_PER_MB = 2**20
 # Addresses that cannot change without a restart: configuration key by field of `Config`.
 FIXED_ADDRESS_KEYS = {"listen": "listen", "admin": "ops"}
 # Fields of `Config` that the engine uses; if any of them changes, the engine is reconfigured.
@@ -59,7 +58,11 @@
     max_sockets, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     sockets = min(config.sockets, max_sockets)
     return (
-        Limits().with_descriptors(sockets).with_settings(config.settings).with_kill_deadline(config.settings)
+        Limits()
+        .with_descriptors(sockets)
+        .with_memory(config.memory_mb * BYTES_PER_MB)
+        .with_settings(config.settings)
+        .with_kill_deadline(config.settings)
     )
 
 
@@ -114,6 +117,9 @@
 def build(config: Config, limits: Limits, poller: Poller) -> RouterParts:
     """Create the components, and open the admin API if one is configured. Raises ConfigError."""
     memory = MemoryBudget()
+    memory_monitor = MemoryMonitor(
+        memory, config.memory_mb * BYTES_PER_MB, limits.memory_reserve, limits.min_memory_capacity
+    )
     engine = RequestEngine(
         _engine_config(config, limits, memory),
         lambda attempt: pools.dispatch(attempt),
@@ -132,6 +138,8 @@
     )
     front = HttpFront(engine, limits, poller, metrics=counts)
     handover_log = open_handover_log(config, limits) if config.admin else None
+    if handover_log:
+        memory_monitor.file_size = handover_log.file_size
     orders = MaintenanceOrders(engine, limits.max_taken_out_servers, handover_log)
     handover = Handover(engine, front, limits, handover_log, orders) if handover_log else None
     clock_steps = ClockStepMonitor()
@@ -168,13 +176,6 @@
         engine.timers,
         random.Random(config.seed),
     )
-    memory_monitor = MemoryMonitor(
-        memory,
-        config.memory_mb * BYTES_PER_MB,
-        limits.memory_reserve,
-        limits.min_memory_capacity,
-        handover_log.file_size if handover_log else lambda: 0,
-    )
     return RouterParts(
         poller, engine, pools, front, orders, handover, change_log, clock_steps, memory_monitor
     )
@@ -202,15 +203,23 @@
 def _engine_config(config: Config, limits: Limits, memory: MemoryBudget) -> EngineConfig:
     """Return the configuration of the request engine."""
     return EngineConfig(
-        config.settings, config.seed, limits, config.transfer_rate, _response_cache(config, limits), memory
+        config.settings,
+        config.seed,
+        limits,
+        config.transfer_rate,
+        _response_cache(config, limits, memory),
+        memory,
     )
 
 
-def _response_cache(config: Config, limits: Limits) -> ResponseCache | None:
+def _response_cache(config: Config, limits: Limits, memory: MemoryBudget) -> ResponseCache | None:
     """Create the response cache; None if the capacity of the link is unknown."""
     if not config.transfer_rate or not config.link_rate:
         return None
-    max_bytes = limits.response_cache_share * config.memory_mb * BYTES_PER_MB
+    max_bytes = min(
+        limits.response_cache_share * config.memory_mb * BYTES_PER_MB,
+        limits.response_cache_capacity_share * memory.capacity,
+    )
     return ResponseCache(
         config.settings, max_bytes, config.transfer_rate, config.link_rate, limits.clock_tolerance
     )
--- a/brackenlane/routing/membership.py
+++ b/brackenlane/routing/membership.py
@@ -26,14 +26,16 @@
 class ServerTable:
     """The servers on the discovery list that are not gone, indexed for routing."""
 
-    def __init__(self, settings: Settings, topology: Topology, max_orders: int) -> None:
-        """max_orders: maximum number of cached rendezvous orders."""
+    def __init__(
+        self, settings: Settings, topology: Topology, max_orders: int, max_order_bytes: float = math.inf
+    ) -> None:
+        """max_orders, max_order_bytes: maximum number and memory of cached rendezvous orders."""
         self.servers: dict[str, Server] = {}
         self.edges: list[Server] = []  # serving edge caches of this location
         self.parents_by_distance: list[list[Server]] = []  # serving parents, by hub distance
         self.parents: list[Server] = []  # serving parents of all hubs, nearest first
         self.origin: Server | None = None
-        self.orders = HashOrders(max_orders)
+        self.orders = HashOrders(max_orders, max_order_bytes)
         # Slow-start budget from before this time counts as spent, as it is unknown what was sent until then.
         self.router_started_at = -math.inf
         self._settings = settings
--- a/brackenlane/routing/rendezvous_hash.py
+++ b/brackenlane/routing/rendezvous_hash.py
@@ -14,6 +14,8 @@
 from brackenlane.routing.members import Member
 
 DIGEST_BYTES = 8
+ORDER_SIZE = 256  # bytes of memory of a cached order, besides its references to servers
+REFERENCE_SIZE = 8  # bytes of memory of a reference
 MIN_WEIGHT = 1e-9  # replaces a weight of 0, with which the score would be 0 for every key
 
 
@@ -39,9 +41,14 @@
 class HashOrders:
     """Cache of rendezvous orders by key, valid until the list of servers changes."""
 
-    def __init__(self, max_entries: int) -> None:
-        """max_entries: maximum number of cached orders; when it is reached, the whole cache is cleared."""
+    def __init__(self, max_entries: int, max_bytes: float = math.inf) -> None:
+        """max_entries, max_bytes: maximum number of cached orders, and memory that all of them may occupy.
+
+        When one of them is reached, the whole cache is cleared.
+        """
         self._max_entries = max_entries
+        self._max_bytes = max_bytes
+        self._bytes = 0
         self._orders: dict[str, list[HasMember]] = {}
 
     def __len__(self) -> int:
@@ -50,11 +57,13 @@
     def clear(self) -> None:
         """Drop all cached orders; required when the servers have changed."""
         self._orders = {}
+        self._bytes = 0
 
     def order(self, key: str, servers: Sequence[HasMemberT]) -> list[HasMemberT]:
         """Return the servers, most preferred first; a key must have the same servers until `clear`."""
         if key not in self._orders:
-            if len(self._orders) >= self._max_entries:
-                self._orders.clear()
+            if len(self._orders) >= self._max_entries or self._bytes > self._max_bytes:
+                self.clear()
+            self._bytes += ORDER_SIZE + REFERENCE_SIZE * len(servers)
             self._orders[key] = sorted(servers, key=lambda s: (score(key, s.member), s.member.server))
         return self._orders[key]  # type: ignore[return-value]
--- a/brackenlane/routing/router.py
+++ b/brackenlane/routing/router.py
@@ -58,6 +58,9 @@
 from brackenlane.routing.topology import Topology
 
 MAX_TABLE_ENTRIES = 4000  # maximum number of objects or cache keys in each table
+ENTRY_SIZE = 512  # bytes of memory of the entries for one object or cache key in all tables, without orders
+ENTRY_SHARE = 1 / 2  # share of the memory of all tables for these entries; the rest is for orders
+MIN_TABLE_ENTRIES = 256
 # With up to this number of routers on a link, a fill counts as a whole transfer until its waiting share is
 # learned.
 MAX_ROUTERS_WITHOUT_MIN_WAITING = 3
@@ -69,14 +72,17 @@
 class Router:
     """Makes the routing decisions of one router."""
 
-    def __init__(self, settings: Settings, seed: int) -> None:
+    def __init__(self, settings: Settings, seed: int, max_table_bytes: float = math.inf) -> None:
+        """max_table_bytes: memory that the tables of objects and cache keys may occupy."""
         rng = random.Random(seed)
+        max_entries = int(min(MAX_TABLE_ENTRIES, ENTRY_SHARE * max_table_bytes / ENTRY_SIZE))
+        max_entries = max(MIN_TABLE_ENTRIES, max_entries)
         topology = Topology(settings)
         self.settings = settings
         self.pending_requests: dict[str, Request] = {}
         self.purges = Purges(settings.purge_propagation_time, settings.tick)
-        self.popularity = Popularity(MAX_TABLE_ENTRIES)
-        self.sizes = Sizes(settings.classes, settings.tick, MAX_TABLE_ENTRIES)
+        self.popularity = Popularity(max_entries)
+        self.sizes = Sizes(settings.classes, settings.tick, max_entries)
         self.latency = LatencyEstimate()
         self.origin_throttle = OriginThrottle()
         self.retry_budget = RetryBudget()
@@ -86,7 +92,7 @@
             MIN_WAITING_SHARE if topology.local_router_count > MAX_ROUTERS_WITHOUT_MIN_WAITING else 0.0
         )
         self.fills = FillEstimate(settings.status_reporting, rng, min_waiting_share)
-        self.server_table = ServerTable(settings, topology, MAX_TABLE_ENTRIES)
+        self.server_table = ServerTable(settings, topology, max_entries, (1 - ENTRY_SHARE) * max_table_bytes)
         self.slow_start_budget = SlowStartBudget(settings, topology, self.sizes, MAX_TABLE_ENTRIES)
         self.capacity = ServerCapacity(settings, topology, self.sizes, self.slow_start_budget)
         self.attempts = AttemptTable(self.capacity, self.fills)
