Purges without end take bounded memory, and none is forgotten

A change log (or operator) that sends purges of ever new objects filled three tables by time alone: 25 bytes become about 400 each, kept for 12 s. Past 4,096 the older half counts as one purge of all objects, as late as the latest of them, so no older copy is allowed by that.

--- a/brackenlane/core/membership_view.py
+++ b/brackenlane/core/membership_view.py
@@ -8,6 +8,7 @@
 from brackenlane.routing.actions import Fetch
 from brackenlane.routing.events import Arrival, Membership, MembershipKind, Purged
 from brackenlane.routing.members import Member, ServerState
+from brackenlane.routing.purges import ALL_OBJECTS, MAX_PURGES, merge_oldest_purges
 from brackenlane.routing.settings import RequestClass, Settings
 
 PURGES_PER_EXPIRY = 64  # old purges are removed when the number of purges is a multiple of this
@@ -55,8 +56,19 @@
         if len(self.purges) % PURGES_PER_EXPIRY == 0:
             oldest = now - self._purge_lifetime
             self.purges = {key: at for key, at in self.purges.items() if at > oldest}
+        if len(self.purges) > MAX_PURGES:
+            self._merge_oldest_purges()
+        if len(self._purge_times_at_origin) > len(self.purges):
             self._purge_times_at_origin = {key: self._purge_times_at_origin[key] for key in self.purges}
 
+    def _merge_oldest_purges(self) -> None:
+        """Replace the older half of too many purges by one purge of all objects."""
+        keys_before = set(self.purges)
+        merge_oldest_purges(self.purges)
+        stamps = [self._purge_times_at_origin[key] for key in keys_before - self.purges.keys()]
+        earlier = self._purge_times_at_origin.get(ALL_OBJECTS, -math.inf)
+        self._purge_times_at_origin[ALL_OBJECTS] = max(earlier, *stamps)
+
     def _apply_membership(self, event: Membership) -> None:
         if event.kind is not MembershipKind.CHANGES:
             self.members = {}
@@ -97,7 +109,7 @@
         Purges received since the attempt was decided lower the limit.
         """
         limit = fetch.max_age or math.inf
-        for key in (request.obj, request.group):
+        for key in (request.obj, request.group, ALL_OBJECTS):
             since_purge = now - self.purges.get(key, -math.inf)
             if since_purge <= self._purge_lifetime:
                 limit = min(limit, max(since_purge - self._age_resolution, MIN_AGE_LIMIT))
@@ -108,9 +120,8 @@
 
         Both times are on the origin's clock, so this machine's clock does not affect the result.
         """
-        return any(
-            issued <= self._purge_times_at_origin.get(key, -math.inf) for key in (request.obj, request.group)
-        )
+        keys = (request.obj, request.group, ALL_OBJECTS)
+        return any(issued <= self._purge_times_at_origin.get(key, -math.inf) for key in keys)
 
     @staticmethod
     def is_too_old(cls: RequestClass | None, issued: float, sent: float, clock_tolerance: float) -> bool:
