Soak: some runs have a crowd, and the routers' memory is held to their settings

The soak knew 60 idle clients and no limit of memory, so that it could not find the incident. In two of five runs 120 clients of one kind come for 1 to 4 s; memory_mb is 32, 48, 64 or 192; a router's peak above that breaks a new invariant. The other faults of a seed are as before.

--- a/brackenlane/lab/crowds/crowd_run.py
+++ b/brackenlane/lab/crowds/crowd_run.py
@@ -26,6 +26,20 @@
 KB_PER_MB = 1024
 
 
+def _read_status_mb(pid: int, field_name: str) -> float:
+    """Return a value of proc(5), status, in MB; 0 if the process has ended."""
+    with contextlib.suppress(OSError):
+        for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+            if line.startswith(f"{field_name}:"):
+                return int(line.split()[1]) / KB_PER_MB
+    return 0.0
+
+
+def peak_memory_mb(pid: int) -> float:
+    """Return the peak of the resident memory of a process in MB; 0 if it has ended."""
+    return _read_status_mb(pid, "VmHWM")
+
+
 @dataclass
 class CrowdRouter:
     """A router under a crowd, with its caches."""
@@ -39,9 +53,7 @@
 
     def memory_mb(self) -> tuple[float, float]:
         """Return the peak of the resident memory and the anonymous memory now, in MB (proc(5))."""
-        lines = Path(f"/proc/{self.process.pid}/status").read_text().splitlines()
-        values = {line.split(":")[0]: line.split()[1] for line in lines if line.endswith(" kB")}
-        return int(values["VmHWM"]) / KB_PER_MB, int(values["RssAnon"]) / KB_PER_MB
+        return peak_memory_mb(self.process.pid), _read_status_mb(self.process.pid, "RssAnon")
 
 
 @dataclass
@@ -170,8 +182,7 @@
 
 async def _watch_memory(router: CrowdRouter, result: CrowdResult) -> None:
     while router.process.poll() is None:
-        with contextlib.suppress(OSError, KeyError):  # the process ends
-            peak, anonymous = router.memory_mb()
-            result.peak_mb = peak
-            result.peak_anonymous_mb = max(result.peak_anonymous_mb, anonymous)
+        peak, anonymous = router.memory_mb()
+        result.peak_mb = max(result.peak_mb, peak)
+        result.peak_anonymous_mb = max(result.peak_anonymous_mb, anonymous)
         await trio.sleep(0.02)
--- a/brackenlane/lab/soak/injector.py
+++ b/brackenlane/lab/soak/injector.py
@@ -11,6 +11,8 @@
 import trio
 
 from brackenlane.lab import site
+from brackenlane.lab.crowds.clients import run_crowd_client
+from brackenlane.lab.crowds.requests import CrowdPlan, plan
 from brackenlane.lab.faults.shim import SystemCall
 from brackenlane.lab.soak.change_log import (
     LIST_CHANGES,
@@ -33,6 +35,7 @@
 BAD_FILE_DURATION = 0.3  # seconds until the valid file is restored
 MAX_DRAINING = 3  # servers at once; the others keep traffic going
 IDLE_CLIENT_COUNT = 60
+CROWD_CONNECTIONS = 120
 STORAGE_CALLS = (SystemCall.WRITE, SystemCall.OPEN, SystemCall.RENAME)
 STORAGE_ERRORS = (errno.ENOSPC, errno.EIO)
 STORAGE_FAILURE_FACTOR = 4  # storage calls fail this many times as often as the fault's amount
@@ -113,6 +116,9 @@
                 self._replace_server(server)
             case FaultKind.IDLE_CLIENTS:
                 await self._connect_idle_clients(router, fault.duration)
+            case FaultKind.CROWD:
+                assert fault.crowd is not None
+                await self._run_crowd(router, plan(fault.crowd, CROWD_CONNECTIONS), fault.duration)
 
     async def _fail_calls(self, router: RunningRouter, fault: Fault) -> None:
         if fault.kind is FaultKind.STORAGE:
@@ -204,5 +210,11 @@
             for stream in streams:
                 await trio.aclose_forcefully(stream)
 
+    async def _run_crowd(self, router: RunningRouter, crowd_plan: CrowdPlan, duration: float) -> None:
+        with trio.move_on_after(duration):
+            async with trio.open_nursery() as nursery:
+                for _ in range(crowd_plan.connections):
+                    nursery.start_soon(run_crowd_client, router.port, crowd_plan)
+
     def _note_log_fault(self, router: RunningRouter) -> None:
         self._history.fault_times.setdefault(router.observed.number, []).append(trio.current_time())
--- a/brackenlane/lab/soak/invariants.py
+++ b/brackenlane/lab/soak/invariants.py
@@ -173,6 +173,14 @@
             yield Violation("traceback", router.sigterm_at, f"router {router.number}: {text}")
 
 
+def routers_stay_within_their_memory(record: Record) -> Iterator[Violation]:
+    """The resident memory of a router never exceeds the memory of its settings."""
+    for router in record.routers:
+        if router.peak_memory_mb > router.memory_mb:
+            text = f"router {router.number}: {router.peak_memory_mb:.1f} MB of {router.memory_mb}"
+            yield Violation("memory", router.sigterm_at, text)
+
+
 Invariant = Callable[[Record], Iterator[Violation]]
 INVARIANTS: tuple[Invariant, ...] = (
     every_request_is_answered_by_its_deadline,
@@ -184,6 +192,7 @@
     no_attempt_at_a_draining_server,
     no_copy_older_than_a_purge,
     routers_exit_cleanly,
+    routers_stay_within_their_memory,
 )
 
 
--- a/brackenlane/lab/soak/record.py
+++ b/brackenlane/lab/soak/record.py
@@ -47,6 +47,8 @@
     sigkill_at: float = math.inf
     exit_code: int | None = None
     log: bytes = b""
+    memory_mb: float = math.inf  # memory of its settings
+    peak_memory_mb: float = 0.0
 
 
 @dataclass(slots=True)
--- a/brackenlane/lab/soak/schedule.py
+++ b/brackenlane/lab/soak/schedule.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from brackenlane.lab.crowds.requests import Crowd
 from brackenlane.lab.faults.shim import SystemCall
 
 # SIGKILL follows SIGTERM no earlier than the longest deadline and this margin; documented limit.
@@ -38,6 +39,24 @@
     SERVER_RESETS = "a server resets its connections"
     SERVER_REPLACED = "a server is gone, and another takes its address"
     IDLE_CLIENTS = "idle clients connect"
+    CROWD = "a crowd of misbehaving clients"
+
+
+# The crowds that need nothing of the servers.
+CROWDS = (
+    Crowd.HALF_BODY,
+    Crowd.TINY_CHUNKS,
+    Crowd.SHORT_FIELDS,
+    Crowd.LONG_FIELD,
+    Crowd.PIPELINED,
+    Crowd.PIPELINED_HALF_BODY,
+    Crowd.WRITES,
+    Crowd.UNSOUND_FLOOD,
+    Crowd.NAME_FLOOD,
+    Crowd.WRITE_FLOOD,
+)
+CROWD_SHARE = 0.4  # share of the runs that have a crowd
+MEMORY_MB = (32, 48, 64, 192)  # memory of the routers' settings
 
 
 SYSTEM_CALL_ERRORS = {
@@ -62,10 +81,12 @@
     at: float  # seconds after the start
     duration: float
     target: int  # index of a router, server or group, by kind; taken modulo their number
+    crowd: Crowd | None = None
     amount: float = 0.0  # CLOCK_STEP: seconds; SYSTEM_CALLS and STORAGE: share of calls that fail
 
     def __str__(self) -> str:
-        return f"{self.kind.value} (target {self.target}, {self.duration:.2f} s, {self.amount:+g})"
+        text = self.crowd.value if self.crowd else self.kind.value
+        return f"{text} (target {self.target}, {self.duration:.2f} s, {self.amount:+g})"
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,6 +101,7 @@
     client_count: int
     faults: tuple[Fault, ...]
     extra_signals: tuple[signal.Signals, ...] = ()  # sent after SIGTERM
+    memory_mb: int = 192
 
     @property
     def kill_after(self) -> float:
@@ -91,9 +113,16 @@
     """Return the plan of a seed; equal arguments give equal plans."""
     rng = random.Random(f"soak {seed}")
     has_state_folder = rng.random() < 0.5
-    kinds = [kind for kind in FaultKind if has_state_folder or kind is not FaultKind.STORAGE]
+    kinds: list[FaultKind] = [kind for kind in FaultKind if kind is not FaultKind.CROWD]
+    if not has_state_folder:
+        kinds.remove(FaultKind.STORAGE)
     count = rng.randint(4, MAX_FAULTS)
-    faults = tuple(sorted((_draw_fault(rng, kinds, seconds) for _ in range(count)), key=lambda f: f.at))
+    faults = [_draw_fault(rng, kinds, seconds) for _ in range(count)]
+    # Drawn apart, so that the other faults of a seed stay what they were.
+    crowd_rng = random.Random(f"crowd {seed}")
+    if crowd_rng.random() < CROWD_SHARE:
+        faults += [_draw_crowd(crowd_rng, seconds) for _ in range(crowd_rng.randint(1, 2))]
+    faults.sort(key=lambda fault: fault.at)
     return Plan(
         seed,
         seconds,
@@ -101,11 +130,17 @@
         rng.choice(DEADLINES),
         has_state_folder,
         rng.choice((8, 16, 24)),
-        faults,
+        tuple(faults),
         tuple(rng.choices((signal.SIGTERM, signal.SIGHUP), k=rng.randrange(4))),
+        crowd_rng.choice(MEMORY_MB),
     )
 
 
+def _draw_crowd(rng: random.Random, seconds: float) -> Fault:
+    at = rng.uniform(FAULT_FREE_START, seconds)
+    return Fault(FaultKind.CROWD, at, rng.uniform(1.0, 4.0), rng.randrange(100), rng.choice(CROWDS))
+
+
 def _draw_fault(rng: random.Random, kinds: list[FaultKind], seconds: float) -> Fault:
     kind = rng.choice(kinds)
     amount = 0.0
@@ -116,4 +151,4 @@
         amount = rng.choice((0.03, 0.1, 0.2))
     elif kind is FaultKind.STOP:
         duration = rng.choice((0.01, 0.05, 0.3, 2.0))
-    return Fault(kind, rng.uniform(FAULT_FREE_START, seconds), duration, rng.randrange(100), amount)
+    return Fault(kind, rng.uniform(FAULT_FREE_START, seconds), duration, rng.randrange(100), amount=amount)
--- a/brackenlane/lab/soak/soak_run.py
+++ b/brackenlane/lab/soak/soak_run.py
@@ -13,6 +13,7 @@
 import trio
 
 from brackenlane.lab import site
+from brackenlane.lab.crowds.crowd_run import peak_memory_mb
 from brackenlane.lab.faults.shim import FaultShim
 from brackenlane.lab.soak.change_log import ChangeHistory, ChangeLogEndpoint
 from brackenlane.lab.soak.injector import FaultInjector
@@ -29,6 +30,7 @@
 NEW_CONNECTIONS_AFTER_SIGTERM = 0.3  # seconds in which clients still open connections
 SIGNAL_INTERVAL = 0.15  # seconds between signals to one router
 SIGTERM_INTERVAL = 0.5  # seconds between the SIGTERMs of two routers
+MEMORY_CHECK_INTERVAL = 0.05  # seconds; the peak is the kernel's, so that only the end is missed
 STALL_CHECK_INTERVAL = 0.02  # seconds between two checks
 STALL_THRESHOLD = 0.05  # seconds; a check that is later than this counts as a stall of the soak
 
@@ -104,7 +106,8 @@
             process = await trio.lowlevel.open_process(
                 [sys.executable, "-m", "brackenlane"], cwd=self._tree, env=environment, stderr=log
             )
-        observed = ObservedRouter(number)
+        observed = ObservedRouter(number, memory_mb=self._plan.memory_mb)
+        nursery.start_soon(self._watch_memory, observed, process)
         self.record.routers.append(observed)
         with trio.fail_after(START_TIMEOUT):
             while b"serves on" not in (folder / "log").read_bytes():
@@ -134,7 +137,7 @@
             }
             for server in self._servers
         ]
-        raw["limits"]["sockets"] = SOCKETS
+        raw["limits"] |= {"sockets": SOCKETS, "memory_mb": self._plan.memory_mb}
         raw["changelog"] = f"127.0.0.1:{log_port}"
         if self._plan.has_state_folder:
             raw["ops"] = f"127.0.0.1:{ops}"
@@ -170,6 +173,15 @@
     def _accepts_clients(self, router: RunningRouter) -> bool:
         return trio.current_time() < router.observed.sigterm_at + NEW_CONNECTIONS_AFTER_SIGTERM
 
+    # Memory of the routers
+
+    @staticmethod
+    async def _watch_memory(observed: ObservedRouter, process: trio.Process) -> None:
+        while process.poll() is None:
+            peak = peak_memory_mb(process.pid)
+            observed.peak_memory_mb = max(observed.peak_memory_mb, peak)
+            await trio.sleep(MEMORY_CHECK_INTERVAL)
+
     # Stalls of the soak process
 
     async def _watch_stalls(self) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -46,7 +46,7 @@
         Notification(0, 15.0, purged_group=3, purged_at=COPY_ISSUED_AT - 5.0),
     ]
     record = Record(attempts, {request.request_id: request for request in requests})
-    record.routers.append(ObservedRouter(0, sigterm_at=30.0, exit_code=0, log=b"INFO serves"))
+    record.routers.append(ObservedRouter(0, sigterm_at=30.0, exit_code=0, log=b"INFO serves", memory_mb=64))
     record.notifications = notifications
     return record
 
@@ -74,6 +74,7 @@
     (lambda r: r.attempts.append(ObservedAttempt(10.6, "origin", "read", "cache", 0.3)), "drain"),
     (lambda r: change(r, "later", issued_at=COPY_ISSUED_AT - 6.0), "purge"),
     (lambda r: setattr(r.routers[0], "exit_code", 1), "exit"),
+    (lambda r: setattr(r.routers[0], "peak_memory_mb", 64.1), "memory"),
     (lambda r: setattr(r.routers[0], "log", b"Traceback (most recent call last)"), "traceback"),
 ]
 
