Signals that come while the process ends do not change its exit code

Cause: while the interpreter finalizes, and between the watcher's end and that, handled signals have their default action again.

--- a/brackenlane/__main__.py
+++ b/brackenlane/__main__.py
@@ -43,9 +43,20 @@
         status = UNUSABLE_CONFIG
     except* KeyboardInterrupt:
         status = INTERRUPTED
+    _ignore_signals()
     return status
 
 
+def _ignore_signals() -> None:
+    """Keep the exit code from now on.
+
+    The interpreter restores the default action of handled signals, though not of ignored ones, while it
+    finalizes; a further signal would end the program by that.
+    """
+    for number in (signal.SIGINT, signal.SIGTERM, signal.SIGHUP):
+        signal.signal(number, signal.SIG_IGN)
+
+
 def _set_up_logging() -> None:
     """Log to stderr with a limited rate of lines; errors while writing the log are ignored."""
     logging.raiseExceptions = False
--- a/brackenlane/lifecycle.py
+++ b/brackenlane/lifecycle.py
@@ -116,6 +116,10 @@
         """Restore the previous handler of one signal."""
         signal.signal(number, self._previous_handlers[self._signals.index(number)])
 
+    def ignore_when_left(self, number: signal.Signals) -> None:
+        """Ignore a signal once this watcher ends, instead of restoring its previous handler."""
+        self._previous_handlers[self._signals.index(number)] = signal.SIG_IGN
+
     async def next(self) -> None:
         """Wait for a signal; several signals since the last wait count as one."""
         await self._received.wait()
@@ -158,6 +162,7 @@
         # A second SIGTERM is ignored: signals may be sent repeatedly, the shutdown has a time limit, and the
         # remaining answers must be sent. A second Ctrl-C is intended to end the program at once.
         stop.release(signal.SIGINT)
+        stop.ignore_when_left(signal.SIGTERM)
         await _shut_down(front, name)
 
 
