Appliance: the memory budget holds there too, and each start says what it is

The appliance's file names no memory, so its clients and caches were bounded by count alone. Both programs log what is allowed, in use and left at the start.

--- a/brackenlane/appliance/program.py
+++ b/brackenlane/appliance/program.py
@@ -12,12 +12,14 @@
 from brackenlane.clock import steady_time
 from brackenlane.coldstart.phases import StartupEvent, StartupPhases
 from brackenlane.coldstart.stream_position import STREAM_START
-from brackenlane.config import ConfigError, Endpoint
+from brackenlane.config import DEFAULT_MEMORY_MB, ConfigError, Endpoint
 from brackenlane.console.admin_console import AdminConsole, ConsoleSources
 from brackenlane.console.cache_health import CacheHealth
 from brackenlane.console.server import open_listener, serve_client
 from brackenlane.core.engine import RequestEngine
 from brackenlane.core.engine_config import EngineConfig
+from brackenlane.core.memory_budget import MemoryBudget
+from brackenlane.core.process_memory import MemoryMonitor, return_freed_blocks
 from brackenlane.core.service_tasks import run_isolated, run_service
 from brackenlane.discovery.dns_source import DnsSource
 from brackenlane.discovery.merge import MembershipMerge
@@ -27,7 +29,7 @@
 from brackenlane.dns.responder import Responder
 from brackenlane.dns.server import Server
 from brackenlane.lifecycle import listen, serve_until_signal
-from brackenlane.limits import Limits
+from brackenlane.limits import BYTES_PER_MB, Limits
 from brackenlane.net.connection_pools import ConnectionPools
 from brackenlane.net.http_front import HttpFront
 from brackenlane.net.poller import Poller
@@ -72,6 +74,7 @@
 
 async def serve(config: ApplianceConfig, limits: Limits) -> None:
     """Run the DNS and HTTP fronts until SIGTERM, then finish the open requests. Raises ConfigError."""
+    return_freed_blocks()
     async with trio.open_nursery() as nursery:
         components = build_serving_components(config, limits)
         nursery.start_soon(run_service, "timers", components.engine.run)
@@ -97,14 +100,27 @@
 def build_serving_components(config: ApplianceConfig, limits: Limits) -> ServingComponents:
     """Create the components that serve requests. None is started yet, and the registry is empty."""
     observer = CacheObserver()
+    memory = MemoryBudget()
     engine = RequestEngine(
-        EngineConfig(config.settings, random.SystemRandom().getrandbits(SEED_BITS), limits),
+        EngineConfig(config.settings, random.SystemRandom().getrandbits(SEED_BITS), limits, memory=memory),
         lambda attempt: pools.dispatch(attempt),
         on_result=observer.on_result,
     )
     poller = Poller(limits.max_poll_events)
     engine.timers.before_due_calls = poller.handle_urgent
-    pools = ConnectionPools(engine.membership, limits, config.settings, engine.report, poller, engine.timers)
+    pools = ConnectionPools(
+        engine.membership,
+        limits,
+        config.settings,
+        engine.report,
+        poller,
+        engine.timers,
+        memory=memory,
+    )
+    monitor = MemoryMonitor(
+        memory, DEFAULT_MEMORY_MB * BYTES_PER_MB, limits.memory_reserve, limits.min_memory_capacity
+    )
+    monitor.start(engine.timers, limits.memory_check_interval)
     merge = MembershipMerge(config.discovery.policy, config.discovery.watches)
     registry = Registry(merge, engine.post, pools.update_servers)
     observer.registry = registry
--- a/brackenlane/core/process_memory.py
+++ b/brackenlane/core/process_memory.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 
 from brackenlane.core.memory_budget import MemoryBudget
+from brackenlane.core.timers import Timers
 
 log = logging.getLogger(__name__)
 
@@ -67,8 +68,22 @@
         self._uncounted_at_start = self._uncounted()
         self._apply()
 
+    def start(self, timers: Timers, interval: float) -> None:
+        """Check now and then at every interval (seconds)."""
+        log.info(
+            "memory: %d kB are allowed, %d kB in use at the start, %d kB for clients and caches",
+            int(self.limit) // 1024,
+            self.resident // 1024,
+            int(self._budget.capacity) // 1024,
+        )
+        self._check_again(timers, interval)
+
+    def _check_again(self, timers: Timers, interval: float) -> None:
+        self.check()
+        timers.call_at(timers.clock() + interval, self._check_again, timers, interval)
+
     def check(self) -> None:
-        """Measure the memory of the process and set the capacity; to be called periodically."""
+        """Measure the memory of the process and set the capacity."""
         self.resident = read_resident_size()
         if self._uncounted() > self._uncounted_at_start + TRIM_FROM and self.resident > self.limit / 2:
             _trim_heap()
--- a/brackenlane/platform_router.py
+++ b/brackenlane/platform_router.py
@@ -93,7 +93,7 @@
             )
             nursery.start_soon(Reloader(config, parts).run, sighups)
             _check_clock(parts)
-            _check_memory(parts)
+            parts.memory_monitor.start(parts.engine.timers, limits.memory_check_interval)
             await _serve_clients(config, parts)
             if parts.handover:
                 parts.handover.close()
@@ -107,13 +107,6 @@
     parts.engine.timers.call_at(steady_time() + interval, _check_clock, parts)
 
 
-def _check_memory(parts: RouterParts) -> None:
-    """Measure the memory of the process, and schedule the next check."""
-    parts.memory_monitor.check()
-    interval = parts.front.limits.memory_check_interval
-    parts.engine.timers.call_at(steady_time() + interval, _check_memory, parts)
-
-
 def build(config: Config, limits: Limits, poller: Poller) -> RouterParts:
     """Create the components, and open the admin API if one is configured. Raises ConfigError."""
     memory = MemoryBudget()
