During an upgrade both processes of a router share the memory of its settings

The limits see one router, but each of its two processes would have taken memory_mb for itself. A process now writes its number into its lock file, and the other takes its private memory off its own capacity. Files of earlier versions are read as before (0: unknown). Read, not seen at a site.

--- a/brackenlane/core/process_memory.py
+++ b/brackenlane/core/process_memory.py
@@ -44,6 +44,15 @@
         return 0
 
 
+def read_private_size(process_number: int) -> int:
+    """Return the resident memory of a process in bytes, without pages of files; 0 if it is unknown."""
+    try:
+        _, resident, shared, *_ = Path(f"/proc/{process_number}/statm").read_bytes().split()
+        return (int(resident) - int(shared)) * PAGE_SIZE
+    except (OSError, ValueError):
+        return 0
+
+
 def _trim_heap() -> None:
     with contextlib.suppress(OSError, AttributeError):
         ctypes.CDLL(None).malloc_trim(0)
@@ -62,8 +71,8 @@
         self.limit = limit
         self._reserve = reserve
         self._min_capacity = min_capacity
-        self.file_size: Callable[[], int] = lambda: 0
-        """Returns the bytes of files that count as memory."""
+        self.other_usage: Callable[[], int] = lambda: 0
+        """Returns the bytes that files and the other processes of this router take of the same memory."""
         self.resident = read_resident_size()
         self._uncounted_at_start = self._uncounted()
         self._apply()
@@ -106,10 +115,10 @@
         }
 
     def _uncounted(self) -> int:
-        return max(0, self.resident - self._budget.held) + self.file_size()
+        return max(0, self.resident - self._budget.held)
 
     def _apply(self) -> None:
         # What is held may lie in memory that was resident at the start, so that less seems to be uncounted.
         uncounted = max(self._uncounted(), self._uncounted_at_start)
-        available = self.limit - self._reserve - uncounted
+        available = self.limit - self._reserve - uncounted - self.other_usage()
         self._budget.set_capacity(max(self._min_capacity, available))
--- a/brackenlane/ops/handover_log.py
+++ b/brackenlane/ops/handover_log.py
@@ -77,6 +77,11 @@
             if process_id != self.process_id and self._locks.is_alive(process_id)
         ]
 
+    def other_system_process_numbers(self) -> list[int]:
+        """Return the numbers that the system gave the other processes of this router, as far as known."""
+        numbers = [self._locks.system_process_number(process_id) for process_id in self.other_processes()]
+        return [number for number in numbers if number]
+
     def read_new_records(self) -> None:
         """Apply the records that were appended since the last call. Raises OSError."""
         try:
--- a/brackenlane/ops/process_locks.py
+++ b/brackenlane/ops/process_locks.py
@@ -29,6 +29,15 @@
         """Acquire the lock by which other processes detect that this one is alive. Raises OSError."""
         self._own_file = _open_lock_file(self._folder / f"{LIVENESS_PREFIX}{self._process_id}")
         _try_lock(self._own_file)
+        with contextlib.suppress(OSError):  # a full disk: the others only do not learn the number
+            os.pwrite(self._own_file, str(os.getpid()).encode(), 0)
+
+    def system_process_number(self, process_id: str) -> int:
+        """Return the number that the system gave a process; 0 if it has not told it."""
+        try:
+            return int((self._folder / f"{LIVENESS_PREFIX}{process_id}").read_bytes())
+        except (OSError, ValueError):
+            return 0
 
     def is_alive(self, process_id: str) -> bool:
         """Whether a process is running, that is, whether its lock is held."""
--- a/brackenlane/platform_router.py
+++ b/brackenlane/platform_router.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import logging
 import os
 import random
@@ -19,7 +20,7 @@
 from brackenlane.core.engine_config import EngineConfig
 from brackenlane.core.memory_budget import MemoryBudget
 from brackenlane.core.metrics import RequestMetrics
-from brackenlane.core.process_memory import MemoryMonitor, return_freed_blocks
+from brackenlane.core.process_memory import MemoryMonitor, read_private_size, return_freed_blocks
 from brackenlane.core.response_cache import ResponseCache
 from brackenlane.lifecycle import SignalWatcher, open_listening_socket, serve_until_signal
 from brackenlane.limits import BYTES_PER_MB, Limits
@@ -132,7 +133,7 @@
     front = HttpFront(engine, limits, poller, metrics=counts)
     handover_log = open_handover_log(config, limits) if config.admin else None
     if handover_log:
-        memory_monitor.file_size = handover_log.file_size
+        memory_monitor.other_usage = functools.partial(_memory_beside, handover_log)
     orders = MaintenanceOrders(engine, limits.max_taken_out_servers, handover_log)
     handover = Handover(engine, front, limits, handover_log, orders) if handover_log else None
     clock_steps = ClockStepMonitor()
@@ -174,6 +175,12 @@
     )
 
 
+def _memory_beside(handover_log: HandoverLog) -> int:
+    """Return the bytes of memory of the handover log and of the other processes of this router."""
+    others = map(read_private_size, handover_log.other_system_process_numbers())
+    return handover_log.file_size() + sum(others)
+
+
 def open_handover_log(config: Config, limits: Limits) -> HandoverLog | None:
     """Open the handover log, which the processes of this router share in `$TMPDIR`.
 
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 import logging
+import os
 from dataclasses import dataclass, field
+from pathlib import Path
 
 import pytest
 
 from brackenlane.core import process_memory
 from brackenlane.core.memory_budget import RELIEF_SHARE, SHORT_SHARE, MemoryBudget
-from brackenlane.core.process_memory import MemoryMonitor
+from brackenlane.core.process_memory import MemoryMonitor, read_private_size, read_resident_size
+from brackenlane.limits import Limits
+from brackenlane.ops.handover_log import HandoverLog
 
 CAPACITY = 1_000
 
@@ -107,3 +111,16 @@
     resident = resident_mb * mb
     monitor.check()
     assert budget.capacity == capacity_mb * mb
+
+
+def test_other_process_of_the_router_takes_of_the_same_memory(tmp_path: Path) -> None:
+    first = HandoverLog(tmp_path, Limits())
+    second = HandoverLog(tmp_path, Limits())
+    try:
+        first.read_new_records()
+        assert second.other_system_process_numbers() == [os.getpid()]
+        assert 0 < read_private_size(os.getpid()) < read_resident_size()
+    finally:
+        second.close()
+        first.close()
+    assert read_private_size(0) == 0
