A connection is not freed while it is handled, nor an idle one for nothing

Now a connection that is being handled is left out, holders of up to 4 kB are freed only to get within the capacity, and the two kinds of relief fail apart.

--- a/brackenlane/core/memory_budget.py
+++ b/brackenlane/core/memory_budget.py
@@ -15,6 +15,8 @@
 
 SHORT_SHARE = 0.75  # share of the capacity above which new requests are rejected
 RELIEF_SHARE = 0.625  # share of the capacity down to which holders are freed
+# Bytes up to which a holder, such as an idle connection, is freed only to get within the capacity itself.
+LIGHT_HOLDER_SIZE = 4_096
 
 
 class MemoryHolder(Protocol):
@@ -47,7 +49,10 @@
         # Bytes for which each waits; the one that has waited longest comes first.
         self._waiters: OrderedDict[MemoryWaiter, int] = OrderedDict()
         self._is_relieving = False
-        self._has_relief_failed = False  # too little could be freed; `retry_relief` tries again
+        # Whether too little could be freed for a read, and below the share for new requests; `retry_relief`
+        # tries both again.
+        self._has_relief_failed = False
+        self._has_early_relief_failed = False
 
     @property
     def is_short(self) -> bool:
@@ -100,20 +105,23 @@
     def relieve(self, size: int = 0) -> None:
         """Free holders, the heaviest first, until so many bytes and a margin are available."""
         target = min(RELIEF_SHARE * self.capacity, self.capacity - size)
-        if self._is_relieving or self._has_relief_failed or self.held <= target:
+        has_failed = self._has_relief_failed if size else self._has_early_relief_failed
+        if self._is_relieving or has_failed or self.held <= target:
             return
         self._is_relieving = True
         try:
-            self._free_heaviest(target)
+            self._free_heaviest(target, self.capacity - size)
         finally:
             self._is_relieving = False
-        self._has_relief_failed = self.held > target
+        self._has_early_relief_failed = self.held > target
+        if size:
+            self._has_relief_failed = not self.has_room(size)
 
-    def _free_heaviest(self, target: float) -> None:
+    def _free_heaviest(self, target: float, target_for_light_holders: float) -> None:
         for holder, _ in sorted(self._sizes.items(), key=lambda item: item[1], reverse=True):
-            if self.held <= target:
-                return
             size = self._sizes.get(holder, 0)
+            if self.held <= (target if size > LIGHT_HOLDER_SIZE else target_for_light_holders):
+                return
             if not size:
                 continue
             action = holder.release_memory()
@@ -146,6 +154,7 @@
     def retry_relief(self) -> None:
         """Free holders again that may have become freeable with time; to be called periodically."""
         self._has_relief_failed = False
+        self._has_early_relief_failed = False
         if self._waiters:
             self.relieve(next(iter(self._waiters.values())))
         else:
--- a/brackenlane/net/client_connection.py
+++ b/brackenlane/net/client_connection.py
@@ -52,6 +52,7 @@
         "_earliest_arrival",
         "_handler",
         "_input",
+        "_is_handling",
         "_is_rejected_before_request",
         "_last_progress_at",
         "_queue",
@@ -80,6 +81,7 @@
         # Rejected before its request was received; the rejection is counted once the request arrives.
         self._is_rejected_before_request = False
         self._closes_after_answer = False
+        self._is_handling = False  # bytes that were read may not show in the state yet
         self._last_progress_at = 0.0  # Unix time at which the client last took a part of its answer
         self.is_open = True
         self.request: PendingRequest | None = None  # request in flight
@@ -166,6 +168,8 @@
 
     def on_ready(self, events: int) -> None:
         """Handle the epoll events of the socket."""
+        was_handling = self._is_handling
+        self._is_handling = True
         try:
             if events & GONE and self._state is not ClientState.CLOSING:
                 self.close()  # also if unread bytes precede the end: no answer can be delivered
@@ -178,6 +182,8 @@
         except Exception:  # a failure on one connection must not affect the others
             log.exception("unexpected error on a client's connection")
             self.close()
+        finally:
+            self._is_handling = was_handling
 
     def read_delayed_input(self, earliest_arrival: float) -> None:
         """Read data that may have arrived earlier, while the connection could not be read.
@@ -303,7 +309,10 @@
 
     def serve(self, since: float) -> None:
         """Serve the queued request, or reject it if memory is short; since: Unix time of its arrival."""
-        if self._is_served_without_memory() or not self._context.memory.must_reject():
+        self._is_handling = True
+        may_serve = self._is_served_without_memory() or not self._context.memory.must_reject()
+        self._is_handling = False
+        if may_serve:
             self._serve(since)
         else:
             self._reject_queued(Reason.MEMORY, steady_time())
@@ -367,6 +376,8 @@
 
     def release_memory(self) -> str:
         """Free memory without losing a request that may have run; return what was done, "" if nothing was."""
+        if self._is_handling:
+            return ""
         match self._state:
             case ClientState.READING:
                 self._refuse_for_memory()
--- a/brackenlane/net/client_transport.py
+++ b/brackenlane/net/client_transport.py
@@ -79,10 +79,10 @@
 
         Raises ClientDisconnectedError.
         """
-        parts = [memoryview(part) for part in (head, body) if part]
+        parts = [*self._unsent, *(memoryview(part) for part in (head, body) if part)]
         self._unsent = _after(parts, self._send(parts))
         if self._unsent:
-            self.unsent_size = len(head) + len(body)
+            self.unsent_size += len(head) + len(body)
             self._poll()
 
     def flush(self) -> bool:
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -15,7 +15,7 @@
 from brackenlane.limits import Limits
 from brackenlane.ops.handover_log import HandoverLog
 
-CAPACITY = 1_000
+CAPACITY = 1_000_000
 
 
 @dataclass(eq=False)
@@ -48,28 +48,28 @@
 def test_heaviest_holder_is_freed_first_and_no_more_than_needed(caplog: pytest.LogCaptureFixture) -> None:
     budget = MemoryBudget(CAPACITY)
     order: list[str] = []
-    for name, size in (("small", 200), ("large", 450), ("medium", 340)):
+    for name, size in (("small", 200_000), ("large", 450_000), ("medium", 340_000)):
         Holder(budget, name, size, released=order)
     with caplog.at_level(logging.WARNING):
-        assert budget.make_room(100)
+        assert budget.make_room(100_000)
     assert order == ["large"]
-    assert budget.held == 540 <= RELIEF_SHARE * CAPACITY
+    assert budget.held == 540_000 <= RELIEF_SHARE * CAPACITY
     assert budget.release_count == 1
     assert "closed it" in caplog.text
 
 
 def test_holder_that_may_have_run_is_kept_and_its_reader_waits() -> None:
     budget = MemoryBudget(CAPACITY)
-    running = Holder(budget, "running", 950, can_free=False)
+    running = Holder(budget, "running", 950_000, can_free=False)
     first, second = Holder(budget, "first", 10), Holder(budget, "second", 10)
-    assert not budget.make_room(100)
-    assert budget.size_of(running) == 950
-    budget.wait(first, 300)
-    budget.wait(second, 300)
+    assert not budget.make_room(100_000)
+    assert budget.size_of(running) == 950_000
+    budget.wait(first, 300_000)
+    budget.wait(second, 300_000)
     assert budget.must_reject()
-    budget.resize(running, 600)
+    budget.resize(running, 600_000)
     assert (first.woken, second.woken) == (1, 0)
-    budget.resize(running, 100)
+    budget.resize(running, 100_000)
     assert (first.woken, second.woken) == (1, 1)
     assert not budget.must_reject()
     assert budget.wait_count == 2
@@ -83,14 +83,24 @@
     assert crowd.released == ["crowd"]
 
 
+def test_idle_connections_are_not_closed_for_what_they_cannot_free() -> None:
+    budget = MemoryBudget(1_000_000)
+    Holder(budget, "running", 900_000, can_free=False)
+    idle = [Holder(budget, "idle", 2_048) for _ in range(20)]
+    assert budget.must_reject()
+    assert not any(holder.released for holder in idle)
+    assert budget.make_room(70_000)
+    assert 0 < sum(bool(holder.released) for holder in idle) < len(idle)
+
+
 def test_failed_relief_is_not_repeated_until_time_has_passed() -> None:
     budget = MemoryBudget(CAPACITY)
-    holder = Holder(budget, "running", 990, can_free=False)
-    assert not budget.make_room(100)
+    holder = Holder(budget, "running", 990_000, can_free=False)
+    assert not budget.make_room(100_000)
     holder.can_free = True
-    assert not budget.make_room(100)
+    assert not budget.make_room(100_000)
     budget.retry_relief()
-    assert budget.make_room(100)
+    assert budget.make_room(100_000)
 
 
 @pytest.mark.parametrize(
