--- a/brackenlane/core/cached_responses.py
+++ b/brackenlane/core/cached_responses.py
@@ -52,7 +52,7 @@
 
     def store(self, entry: CacheEntry) -> None:
         """Store a response if a cache is configured and there is memory for it."""
-        if self._cache and self._memory.has_room(entry.memory_size):
+        if self._cache and self._memory.is_available(entry.memory_size):
             self._cache.store(entry)
             self._count_memory()
 
--- a/brackenlane/core/memory_budget.py
+++ b/brackenlane/core/memory_budget.py
@@ -88,19 +88,19 @@
         if self._waiters:
             self._wake_waiters()
 
-    def has_room(self, size: int) -> bool:
+    def is_available(self, size: int) -> bool:
         """Return whether so many more bytes may be held."""
         return self.held + size <= self.capacity
 
-    def make_room(self, size: int) -> bool:
+    def ensure_available(self, size: int) -> bool:
         """Return whether so many more bytes may be held, after freeing holders if necessary.
 
         While holders are being freed it returns True: what they read for that is small and soon freed.
         """
-        if self._is_relieving or self.has_room(size):
+        if self._is_relieving or self.is_available(size):
             return True
         self.relieve(size)
-        return self.has_room(size)
+        return self.is_available(size)
 
     def relieve(self, size: int = 0) -> None:
         """Free holders, the heaviest first, until so many bytes and a margin are available."""
@@ -115,7 +115,7 @@
             self._is_relieving = False
         self._has_early_relief_failed = self.held > target
         if size:
-            self._has_relief_failed = not self.has_room(size)
+            self._has_relief_failed = not self.is_available(size)
 
     def _free_heaviest(self, target: float, target_for_light_holders: float) -> None:
         for holder, _ in sorted(self._sizes.items(), key=lambda item: item[1], reverse=True):
--- a/brackenlane/net/cache_connection.py
+++ b/brackenlane/net/cache_connection.py
@@ -325,7 +325,7 @@
             return False
         memory = self._context.memory
         missing = self._parser.buffer_size + RECEIVE_BYTES - self._parser.needed_size
-        if missing <= 0 or memory.make_room(missing):
+        if missing <= 0 or memory.ensure_available(missing):
             return self.is_open
         if self.is_open:
             self._is_paused = True
--- a/brackenlane/net/client_connection.py
+++ b/brackenlane/net/client_connection.py
@@ -239,7 +239,7 @@
 
     def _may_read(self) -> bool:
         """Return whether there is memory for more input; if not, reading waits for it."""
-        if self._context.memory.make_room(RECEIVE_SIZE):
+        if self._context.memory.ensure_available(RECEIVE_SIZE):
             return self.is_open
         if self.is_open:
             self._transport.pause_reading()
--- a/brackenlane/net/connection_table.py
+++ b/brackenlane/net/connection_table.py
@@ -65,7 +65,7 @@
     @property
     def has_memory(self) -> bool:
         """Whether there is memory for another connection."""
-        return self._context.memory.make_room(CONNECTION_SIZE)
+        return self._context.memory.ensure_available(CONNECTION_SIZE)
 
     @property
     def is_rejection_limit_reached(self) -> bool:
--- a/brackenlane/net/listener.py
+++ b/brackenlane/net/listener.py
@@ -150,8 +150,8 @@
         try:
             self.admit(sock, earliest_arrival)
         except OSError as error:  # a socket that cannot be polled must not stop the listener
-            has_room = self._unpolled_count < self._context.limits.max_rejected_connections
-            if failures + 1 < MAX_POLL_ADD_ATTEMPTS and has_room:
+            is_available = self._unpolled_count < self._context.limits.max_rejected_connections
+            if failures + 1 < MAX_POLL_ADD_ATTEMPTS and is_available:
                 self._unpolled_count += 1
                 pause = min(FIRST_ACCEPT_PAUSE * 2**failures, self._context.limits.accept_pause)
                 self._timers.call_at(steady_time() + pause, self._retry, sock, earliest_arrival, failures + 1)
--- a/brackenlane/routing/edge_selection.py
+++ b/brackenlane/routing/edge_selection.py
@@ -57,7 +57,7 @@
         # Caches without room are skipped. If no cache has room, another transfer would only add to the
         # overload.
         for edge in candidates:
-            if self._capacity.has_room(edge, sharers, request, now):
+            if self._capacity.is_available(edge, sharers, request, now):
                 return edge
         return None
 
--- a/brackenlane/routing/fill_source.py
+++ b/brackenlane/routing/fill_source.py
@@ -76,7 +76,7 @@
             parent
             for parent in self._servers.parents_in_order(request.arrival.obj, distance)
             if capacity.is_usable(parent, request, now)
-            and capacity.has_room(parent, sharers, request, now)
+            and capacity.is_available(parent, sharers, request, now)
             and (parent.ejected_until or self._random.random() * best**2 < parent.timeliness**2)
         ]
 
--- a/brackenlane/routing/server_capacity.py
+++ b/brackenlane/routing/server_capacity.py
@@ -45,13 +45,13 @@
         seconds_left = PLANNABLE_TIME_SHARE * (request.objective_at - now)
         return server.transfer_limit * seconds_left / request.work
 
-    def has_room(self, server: Server, sharers: float, request: Request, now: float) -> bool:
+    def is_available(self, server: Server, sharers: float, request: Request, now: float) -> bool:
         """Whether the link of a server can complete one more transfer in time."""
         return self.transfers(server, sharers) + 1 <= self.transfer_capacity(server, request, now)
 
     def has_local_link_room(self, request: Request, now: float) -> bool:
         """Whether the link into this location can complete one more fill in time."""
-        return self.has_room(self.local_link, self.edge_sharers, request, now)
+        return self.is_available(self.local_link, self.edge_sharers, request, now)
 
     def link_load(self, server: Server, sharers: float, request: Request, now: float) -> LinkLoad:
         """Return the load of the link of a server with one more transfer like this request's."""
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -51,7 +51,7 @@
     for name, size in (("small", 200_000), ("large", 450_000), ("medium", 340_000)):
         Holder(budget, name, size, released=order)
     with caplog.at_level(logging.WARNING):
-        assert budget.make_room(100_000)
+        assert budget.ensure_available(100_000)
     assert order == ["large"]
     assert budget.held == 540_000 <= RELIEF_SHARE * CAPACITY
     assert budget.release_count == 1
@@ -62,7 +62,7 @@
     budget = MemoryBudget(CAPACITY)
     running = Holder(budget, "running", 950_000, can_free=False)
     first, second = Holder(budget, "first", 10), Holder(budget, "second", 10)
-    assert not budget.make_room(100_000)
+    assert not budget.ensure_available(100_000)
     assert budget.size_of(running) == 950_000
     budget.wait(first, 300_000)
     budget.wait(second, 300_000)
@@ -89,18 +89,18 @@
     idle = [Holder(budget, "idle", 2_048) for _ in range(20)]
     assert budget.must_reject()
     assert not any(holder.released for holder in idle)
-    assert budget.make_room(70_000)
+    assert budget.ensure_available(70_000)
     assert 0 < sum(bool(holder.released) for holder in idle) < len(idle)
 
 
 def test_failed_relief_is_not_repeated_until_time_has_passed() -> None:
     budget = MemoryBudget(CAPACITY)
     holder = Holder(budget, "running", 990_000, can_free=False)
-    assert not budget.make_room(100_000)
+    assert not budget.ensure_available(100_000)
     holder.can_free = True
-    assert not budget.make_room(100_000)
+    assert not budget.ensure_available(100_000)
     budget.retry_relief()
-    assert budget.make_room(100_000)
+    assert budget.ensure_available(100_000)
 
 
 @pytest.mark.parametrize(
