Lab: ports of routers lie below the ephemeral ones

The port had been chosen among the ephemeral ones and freed, so that a connection of another program could take it; a probe that takes it gave exit 2, 'cannot listen ...: Address already in use' (the failed run's own log was gone with its folder). Ports come from 26,000 to 31,999 now, and a crowd's router that ends before it serves fails at once with its log.

--- a/brackenlane/lab/crowds/crowd_run.py
+++ b/brackenlane/lab/crowds/crowd_run.py
@@ -119,6 +119,7 @@
             try:
                 with trio.fail_after(START_TIMEOUT):
                     while b"serves on" not in log.read_bytes():
+                        assert process.poll() is None, log.read_text()
                         await trio.sleep(0.02)
                 yield CrowdRouter(process, port, ops_port, log, caches, path)
             finally:
--- a/brackenlane/lab/site.py
+++ b/brackenlane/lab/site.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 import os
-import socket
 import subprocess
 import sys
 import tempfile
@@ -16,6 +16,11 @@
 
 import orjson
 
+from brackenlane.lab.cluster.ports import reserve_port
+
+FIRST_PORT, PORT_COUNT = 26_000, 6_000  # not used by the tests and the test clusters
+PORTS_PER_PROCESS = 97
+port_numbers = itertools.count()
 ROOT = Path(__file__).parent.parent.parent
 
 SETTINGS: dict[str, Any] = {
@@ -55,14 +60,21 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports of 127.0.0.1 that are free now."""
+    """Return ports of 127.0.0.1 that are free now.
+
+    They lie below the ephemeral ports, which connections of other programs may take before they are used.
+    """
     with contextlib.ExitStack() as stack:
-        socks = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for sock in socks:
-            sock.bind(("127.0.0.1", 0))
+        socks = [stack.enter_context(reserve_port(_next_ports())) for _ in range(count)]
         return [int(sock.getsockname()[1]) for sock in socks]
 
 
+def _next_ports() -> Iterator[int]:
+    """Yield the ports behind the one taken last; each process begins at an offset of its own."""
+    for _ in range(PORT_COUNT):
+        yield FIRST_PORT + (os.getpid() * PORTS_PER_PROCESS + next(port_numbers)) % PORT_COUNT
+
+
 def platform_config(
     port: int,
     caches: Sequence[int],
