--- a/brackenlane/limits.py
+++ b/brackenlane/limits.py
@@ -123,7 +123,7 @@
     # Size of the tables of objects; the least recently used entry is dropped, or all cached orders.
     max_routing_table_size: float = 11 * BYTES_PER_MB
     # Bytes of the allowed memory that are not given out: objects of a moment, and growth between checks.
-    memory_reserve: int = 1_048_576
+    memory_reserve: int = 1_572_864
     min_memory_capacity: int = 786_432  # bytes given out if the allowed memory is less than the program needs
     memory_check_interval: float = 0.2  # time between two measurements of the memory of this process
     # Time in which a cache sends nothing of a response while memory is short; the connection is closed.
