Change log: a list that grows without end is bounded

A change log that adds servers and never removes them filled the tables of routers, pools and the last check without a bound (27 bytes become some 620, measured for router and view; found by reading).

--- a/brackenlane/limits.py
+++ b/brackenlane/limits.py
@@ -23,6 +23,8 @@
 TABLE_SIZE_REDUCTION = BYTES_PER_MB  # subtracted from the tables' share, as the program takes most of little
 MIN_ROUTING_TABLE_SIZE = BYTES_PER_MB / 2
 MIN_ABANDONED_IDS = 64
+MEMORY_PER_LISTED_SERVER = 16_384
+MIN_LISTED_SERVERS = 4_096  # more than the largest fleet of the pages, 3,200
 COMPACTIONS_PER_HANDOVER_LOG = 4
 RESPONSE_TIMEOUT_MARGIN = 0.5  # seconds added to the longest time limit for the last responses at shutdown
 
@@ -152,6 +154,7 @@
     change_log_connect_timeout: float = 4.0  # time to connect; then the connection attempt has failed
     # Time without a byte, though the log sends one each second; then another connection is opened.
     change_log_silence_timeout: float = 2.0
+    max_listed_servers: int = 12_288  # servers of the list; further ones are refused
     # Mean delay before the first retry, jittered by half so that routers don't retry at the same time.
     change_log_retry_delay: float = 0.2
     max_change_log_retry_delay: float = 0.5  # maximum retry delay, reached by doubling
@@ -242,6 +245,9 @@
             ),
             max_remembered_submits=int(min(self.max_remembered_submits, memory / MEMORY_PER_SUBMIT_ID)),
             max_change_log_frame=int(min(self.max_change_log_frame, memory / MEMORY_PER_FRAME_BYTE)),
+            max_listed_servers=int(
+                max(MIN_LISTED_SERVERS, min(self.max_listed_servers, memory / MEMORY_PER_LISTED_SERVER))
+            ),
             max_routing_table_size=max(MIN_ROUTING_TABLE_SIZE, min(self.max_routing_table_size, table_size)),
             max_abandoned_ids=int(
                 max(MIN_ABANDONED_IDS, min(self.max_abandoned_ids, memory / MEMORY_PER_ABANDONED_ID))
--- a/brackenlane/net/change_log.py
+++ b/brackenlane/net/change_log.py
@@ -20,7 +20,7 @@
 from brackenlane.net.connection_pools import ConnectionPools
 from brackenlane.net.poller import Poller
 from brackenlane.routing.events import Event, Membership, MembershipKind, Purged
-from brackenlane.routing.members import ServerState
+from brackenlane.routing.members import Member, ServerState
 
 log = logging.getLogger(__name__)
 
@@ -31,11 +31,16 @@
 class ChangeApplier:
     """Passes each change to the connection pools and the request engine, in order and at most once."""
 
-    def __init__(self, pools: ConnectionPools, notify: Callable[[Event], None]) -> None:
-        """notify: passes an event to the request engine."""
+    def __init__(
+        self, pools: ConnectionPools, notify: Callable[[Event], None], max_servers: int = 2**31
+    ) -> None:
+        """notify: passes an event to the request engine; max_servers: maximum number of listed servers."""
         self._pools = pools
         self._notify = notify
+        self._max_servers = max_servers
+        self._listed: set[str] = set()
         self.cursor = 0  # number of the last change applied
+        self.refused_server_count = 0  # entries of servers that were refused because the list was full
 
     def apply(self, change: Change) -> None:
         """Apply a change unless it was already applied."""
@@ -43,13 +48,37 @@
         if event is None or change.number <= self.cursor:
             return
         if isinstance(event, Membership):
+            event = self._without_excess(event)
             gone = {member.server for member in event.members if member.state is ServerState.GONE}
-            self._pools.update_servers(change.endpoints, gone, event.kind is MembershipKind.FULL)
+            endpoints = {
+                server: endpoint for server, endpoint in change.endpoints.items() if server in self._listed
+            }
+            self._pools.update_servers(endpoints, gone, event.kind is MembershipKind.FULL)
         self._notify(event)
         if isinstance(event, Membership):
             self._pools.recheck()
         self.cursor = change.number
 
+    def _without_excess(self, event: Membership) -> Membership:
+        """Return a list without the servers for which there is no room; those already listed stay."""
+        if event.kind is MembershipKind.FULL:
+            self._listed = set()
+        members: list[Member] = []
+        for member in event.members:
+            if member.state is ServerState.GONE:
+                self._listed.discard(member.server)
+            elif member.server in self._listed or len(self._listed) < self._max_servers:
+                self._listed.add(member.server)
+            else:
+                continue
+            members.append(member)
+        refused = len(event.members) - len(members)
+        if not refused:
+            return event
+        self.refused_server_count += refused
+        log.warning("change log: %d servers refused, %d are listed already", refused, len(self._listed))
+        return replace(event, members=tuple(members))
+
 
 @dataclass(slots=True)
 class ChangeLogCounters:
--- a/brackenlane/platform_router.py
+++ b/brackenlane/platform_router.py
@@ -142,6 +142,7 @@
         """Return the counters of external faults by metric name."""
         return {
             **change_log.counters.by_name(),
+            "change_log_refused_servers": applier.refused_server_count,
             "clock_steps": clock_steps.step_count,
             "accept_shortages": front.listener.shortages,
             "handover_write_failures": handover_log.write_failures if handover_log else 0,
@@ -162,10 +163,11 @@
         )
         admin_api = AdminApi(poller, engine.timers, limits, routes)
         admin_api.open(open_listening_socket(config.admin))
+    applier = ChangeApplier(pools, orders.on_event, limits.max_listed_servers)
     change_log = ChangeLogClient(
         ChangeLogSource(config.changelog, config.site),
         limits,
-        ChangeApplier(pools, orders.on_event),
+        applier,
         poller,
         engine.timers,
         random.Random(config.seed),
--- a/tests/test_architecture_page.py
+++ b/tests/test_architecture_page.py
@@ -61,6 +61,7 @@
 
 # Fault counters that platform_router.build adds to the metrics.
 OTHER_FAULT_COUNTERS = (
+    "change_log_refused_servers",
     "clock_steps",
     "accept_shortages",
     "handover_write_failures",
