--- a/brackenlane/routing/router.py
+++ b/brackenlane/routing/router.py
@@ -75,8 +75,8 @@
     def __init__(self, settings: Settings, seed: int, max_table_bytes: float = math.inf) -> None:
         """max_table_bytes: memory that the tables of objects and cache keys may occupy."""
         rng = random.Random(seed)
-        max_entries = int(min(MAX_TABLE_ENTRIES, ENTRY_SHARE * max_table_bytes / ENTRY_SIZE))
-        max_entries = max(MIN_TABLE_ENTRIES, max_entries)
+        entries_in_share = max(MIN_TABLE_ENTRIES, ENTRY_SHARE * max_table_bytes / ENTRY_SIZE)
+        max_entries = int(min(MAX_TABLE_ENTRIES, entries_in_share))
         topology = Topology(settings)
         self.settings = settings
         self.pending_requests: dict[str, Request] = {}
