Lab: a closed stand-in keeps its port, so that no other program gets it

Its closed cache's port was one of the ephemeral ones, free for the stand-ins and clients of the three other workers, of which the crowds need thousands. A probe shows the mechanism: after 13,708 sockets another one got the closed port. Now the port stays bound, without listening, until the stand-in opens again; the probe found it in none of 19,989.

--- a/brackenlane/lab/stand_ins/cache_server.py
+++ b/brackenlane/lab/stand_ins/cache_server.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import contextlib
+import socket
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -23,9 +24,11 @@
 
     port = 0
     host = "127.0.0.1"
+    _reservation: socket.socket | None = None  # holds the port while the listener is closed
 
     async def open(self, nursery: trio.Nursery) -> Self:
         """Start to listen, on the same port as before if it was open already."""
+        self._release_port()
         self._scope = trio.CancelScope()
         self._closed = trio.Event()
         [listener] = await trio.open_tcp_listeners(self.port, host=self.host)
@@ -34,9 +37,17 @@
         return self
 
     async def close(self) -> None:
-        """Close all connections and refuse new ones."""
+        """Close all connections and refuse new ones; no other program gets the port meanwhile."""
         self._scope.cancel()
         await self._closed.wait()
+        self._reservation = socket.socket()
+        self._reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._reservation.bind((self.host, self.port))
+
+    def _release_port(self) -> None:
+        if self._reservation is not None:
+            self._reservation.close()
+            self._reservation = None
 
     async def _accept(self, listener: trio.SocketListener) -> None:
         with self._scope:
