--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -6,6 +6,8 @@
 import os
 import signal
 import socket
+import struct
+from enum import Enum
 from pathlib import Path
 
 import pytest
@@ -24,19 +26,32 @@
     ).encode()
 
 
-def send_and_leave(port: int, data: bytes) -> None:
-    """Connect, send as much as the kernel accepts, and close."""
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER value that makes close() send a reset
+
+
+class Departure(Enum):
+    """How a client leaves."""
+
+    CLOSE = "close"
+    RESET = "reset"
+
+
+def send_and_leave(port: int, data: bytes, departure: Departure) -> None:
+    """Connect, send as much as the kernel accepts, and leave."""
     with socket.create_connection(("127.0.0.1", port)) as client:
         client.setblocking(False)
         with contextlib.suppress(BlockingIOError):
             while data:
                 data = data[client.send(data) :]
+        if departure is Departure.RESET:
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
 
 
 @pytest.mark.parametrize("unread_size", [0, 60_000, 300_000, 8_000_000])
+@pytest.mark.parametrize("departure", list(Departure))
 @with_trio
 async def test_requests_of_clients_that_left_behind_unread_bytes_are_not_sent(
-    tmp_path: Path, unread_size: int
+    tmp_path: Path, unread_size: int, departure: Departure
 ) -> None:
     async with trio.open_nursery() as nursery:
         caches: list[CacheStandIn] = await start_caches(nursery, EDGE, ORIGIN)
@@ -45,7 +60,7 @@
             ids = [os.urandom(8).hex() for _ in range(CLIENTS)]
             router_process.process.send_signal(signal.SIGSTOP)
             for request_id in ids:
-                send_and_leave(router_process.port, write_request(request_id) + b"x" * unread_size)
+                send_and_leave(router_process.port, write_request(request_id) + b"x" * unread_size, departure)
             router_process.process.send_signal(signal.SIGCONT)
             answers = [
                 await router_process.request_object("sheet-submit", body=b"signed", txn=request_id)
