An expired idle client that could not be read gets an answer only if it sent something

Found by reading once more: reading may be paused while a request is in flight; if memory stayed short until the idle timeout, the client got a 503 without a request, behind its last answer. The new test, with nothing sent, failed before.

--- a/brackenlane/net/client_connection.py
+++ b/brackenlane/net/client_connection.py
@@ -140,8 +140,8 @@
             self.close()
             return
         state = self._state
-        if self._transport.is_paused:  # a request may have arrived and not been read
-            self._refuse_for_memory()
+        if self._transport.is_paused and self._transport.has_unread():
+            self._refuse_for_memory()  # a request has arrived that could not be read
             return
         self.on_ready(READABLE)
         if self.is_open and self._state is state:
@@ -371,7 +371,7 @@
     # Memory
 
     def on_memory_available(self) -> None:
-        """Read on; the sockets's bytes are handled by the next poll."""
+        """Read on; the socket's bytes are handled by the next poll."""
         self._transport.resume_reading()
 
     def release_memory(self) -> str:
--- a/brackenlane/net/client_transport.py
+++ b/brackenlane/net/client_transport.py
@@ -54,8 +54,15 @@
 
     def has_ended(self) -> bool:
         """Return whether the client has disconnected, also if unread data precedes the end."""
+        return self._is_ready(select.POLLRDHUP)
+
+    def has_unread(self) -> bool:
+        """Return whether there are bytes to read, or the end."""
+        return self._is_ready(select.POLLIN)
+
+    def _is_ready(self, events: int) -> bool:
         poll = select.poll()
-        poll.register(self._sock.fileno(), select.POLLRDHUP)
+        poll.register(self._sock.fileno(), events)
         return bool(poll.poll(0))
 
     def pause_reading(self) -> None:
--- a/tests/test_memory_of_clients.py
+++ b/tests/test_memory_of_clients.py
@@ -9,6 +9,7 @@
 from brackenlane.core.engine import RequestEngine
 from brackenlane.core.engine_config import EngineConfig
 from brackenlane.limits import Limits
+from brackenlane.net.client_state import ClientState
 from brackenlane.net.http_front import HttpFront
 from brackenlane.net.poller import Poller
 from brackenlane.routing.settings import RequestClass, Settings
@@ -85,3 +86,18 @@
     assert client.exchange(HEALTH) == b""
     client.memory.resize(holder, 0)
     assert client.exchange(b"").startswith(b"HTTP/1.1 503")
+
+
+@pytest.mark.parametrize("has_sent", [True, False])
+def test_expired_client_that_could_not_be_read_gets_an_answer_only_if_it_sent_something(
+    has_sent: bool,
+) -> None:
+    client = Client()
+    assert client.exchange(HEALTH).startswith(b"HTTP/1.1 503")
+    client.memory.set_capacity(CAPACITY)
+    Holder(client.memory, "in flight", CAPACITY, can_free=False)
+    [connection] = client.front.table.in_state(ClientState.IDLE)
+    connection._transport.pause_reading()
+    assert client.exchange(HEALTH if has_sent else b"") == b""
+    connection.expire()
+    assert client.exchange(b"").startswith(b"HTTP/1.1 503") is has_sent
