--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""Two routers share a store; one is cut off from it while both are given orders, and one restarts."""
+"""Routers share a store; one is cut off from it while two are given orders, and one restarts."""
 
 from __future__ import annotations
 
@@ -77,13 +77,15 @@
         redis = await Redis().open(nursery)
         link = Link(record, redis.port)
         await link.open(nursery)
-        first = site.Router(folder, record, "branch-1")
-        second = site.Router(folder, record, "branch-2")
-        for router, port in ((first, link.port), (second, redis.port)):
-            router.write_file(site.boxes(caches), seats=2, top=f'redis = "127.0.0.1:{port}"')
-        async with site.routers(first, second):
-            await first.start()
-            await second.start()
+        # Four routers, of which one is cut off and one restarted: at most 30% at a time.
+        everyone = [site.Router(folder, record, f"branch-{number}") for number in range(1, 5)]
+        first, second, *_ = everyone
+        async with site.routers(*everyone):
+            for router in everyone:
+                port = link.port if router is first else redis.port
+                top = f'redis = "127.0.0.1:{port}"'
+                router.write_file(site.boxes(caches), "[coldstart]\ndoormans = 4\n", seats=4, top=top)
+                await router.start()
             nursery.start_soon(send_requests, record, second)
             await trio.sleep(3.0)
             if site.is_troubled():
