Review, case 9: one of four boxes has vanished; the older excuse and why it does not hold

Cause: read once more as the other side would. Change: four boxes, so that a quarter vanishes; the claim quotes the excuse and the sentence that ends it.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -45,7 +45,7 @@
     """Play the case."""
     lost: list[str] = []
     async with trio.open_nursery() as nursery:
-        caches = await site.start_caches(nursery, record, ("box-2", "box-3", "origin"))
+        caches = await site.start_caches(nursery, record, ("box-2", "box-3", "box-4", "origin"))
         vanished = Vanished()
         router = site.Router(folder, record, "branch-1")
         port = vanished.port if site.is_troubled() else caches[0].port
