Review: a case keeps its ports for as long as it runs

Cause: `free_port` bound a port, let go of it and left it unbound until the router of the case listened, some seconds later. Five cases at the same time draw some 30 ports from one range.

Change: each port is reserved by a bound socket until the case ends, as the test cluster does it (brackenlane/lab/cluster/ports.py).

--- a/review/lib2/site_parts.py
+++ b/review/lib2/site_parts.py
@@ -26,6 +26,7 @@
 ROOT = Path(__file__).resolve().parent.parent.parent
 sys.path.insert(0, str(ROOT))
 
+from brackenlane.lab.cluster.ports import reserve_port  # noqa: E402
 from brackenlane.lab.stand_ins.cache_commands import ReceivedRequest  # noqa: E402
 from brackenlane.lab.stand_ins.cache_server import CacheStandIn, data_reply  # noqa: E402
 
@@ -36,6 +37,8 @@
 START_LIMIT = 20.0  # seconds until a started router answers its health check
 PORTS = range(12_000, 19_000)  # below the ports that the kernel gives to outgoing connections
 
+reservations: list[socket.socket] = []  # of the ports of this case, for as long as it runs
+
 SETTINGS = """
 [settings]
 location = "branch"
@@ -88,16 +91,20 @@
 
 
 def free_port() -> int:
-    """Return a port that is unused for TCP and UDP."""
-    for _ in range(200):
-        port = random.choice(PORTS)
-        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+    """Return a port that is unused for TCP and UDP; it is kept from other cases until this one ends."""
+    for port in random.sample(PORTS, 200):
+        try:
+            reservation = reserve_port([port])
+        except OSError:
+            continue
+        with socket.socket(type=socket.SOCK_DGRAM) as udp:
             try:
-                tcp.bind(("127.0.0.1", port))
                 udp.bind(("127.0.0.1", port))
             except OSError:
+                reservation.close()
                 continue
-            return port
+        reservations.append(reservation)
+        return port
     raise NotRunError("no free port")
 
 
