Publish what waits for the store by a task of its own, not after a failed read

Cause: a failed write put its event into Publisher._pending, and while that queue was not empty further events only joined it. Its one consumer ran after the connection that reads the stream had failed. That one blocks in XREAD for up to 5.3 s and survives a stall that a command, with 0.3 s, does not.

Ruled out: the store (it answers before and after the watch) and the second router's reader (it gets the entry as soon as one is written).

Change: store/outbox.py owns the events that are not known to be in the store: one for each target, refused and not dropped when it is full, kept until read back. The publisher has its own connection, writes on each new event, retries by a task of its own with jittered backoff, and is woken when the store answers on any other connection. A write on a connection that the store ended at rest is repeated at once; it is safe to repeat. Catching up no longer waits for what is to be written: orders are compared by their times wherever they are read.

--- a/brackenlane/console/admin_console.py
+++ b/brackenlane/console/admin_console.py
@@ -11,6 +11,7 @@
 from brackenlane.console.cache_health import CacheHealth
 from brackenlane.discovery.registry import Registry
 from brackenlane.store.event_codec import MAX_GROUP, NO_GROUP, OrderGiven, PurgeRequested, StoreEvent
+from brackenlane.store.publisher import PublishResult
 from brackenlane.store.shared_store import SharedStore
 
 HELP = """boxes               list the boxes with state and health; boxes -v: who names them, and why
@@ -27,6 +28,13 @@
 MAX_SHOWN_COMMAND = 60  # characters; an unknown command is truncated to them in the answer
 
 
+PUBLISH_NOTES = {
+    PublishResult.WRITTEN: "",
+    PublishResult.QUEUED: "the store is away: the others hear of it when it is back\n",
+    PublishResult.REFUSED: "the store is away and too many changes wait for it: give this again later\n",
+}
+
+
 @dataclass(frozen=True, slots=True)
 class ConsoleSources:
     """The components of the router that the console shows and changes."""
@@ -112,9 +120,9 @@
 
     async def _publish(self, answer: str, event: StoreEvent) -> str:
         """Publish a change to the other routers; return the answer, with a note if that failed."""
-        if self._store and not await self._store.publisher.publish(event):
-            return answer + "the store is away: the others hear of it when it is back\n"
-        return answer
+        if self._store is None:
+            return answer
+        return answer + PUBLISH_NOTES[await self._store.publisher.publish(event)]
 
 
 def _is_group(text: str) -> bool:
--- a/brackenlane/limits.py
+++ b/brackenlane/limits.py
@@ -195,7 +195,8 @@
     store_block_time: float = 5.0  # time for which the store may delay a reply while there are no updates
     max_store_events: int = 10_000  # events in the stream; the store drops the oldest
     store_page_size: int = 500  # entries or caches per request to the store
-    # Changes not yet written to the store, or not yet read back; the oldest is dropped.
+    # Changes not yet written to the store, or not yet read back; the oldest one written is dropped;
+    # if there is none, a further change is refused.
     max_unshared_changes: int = 1_000
     max_store_purges: int = 2_000  # purges kept over a restart; later ones are not kept
     store_ticket_lifetime: int = 600  # time for which the store keeps the load ticket counter of a window
--- a/brackenlane/store/connection.py
+++ b/brackenlane/store/connection.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import hiredis
@@ -20,10 +20,16 @@
 class Connection:
     """Sends batches of commands, one at a time; after a failure the next batch opens a new connection."""
 
-    def __init__(self, endpoint: Endpoint, timeout: float) -> None:
-        """timeout: seconds for one batch, including the connection setup; a call may override it."""
+    def __init__(
+        self, endpoint: Endpoint, timeout: float, on_answer: Callable[[], None] = lambda: None
+    ) -> None:
+        """timeout: seconds for one batch, including the connection setup; a call may override it.
+
+        on_answer: called after each batch that the store has answered.
+        """
         self._endpoint = endpoint
         self._timeout = timeout
+        self._on_answer = on_answer
         self._stream: trio.SocketStream | None = None
         self._reader = hiredis.Reader()
         self._lock = trio.Lock()
@@ -42,6 +48,7 @@
             raise StoreTimeoutError(str(error) or type(error).__name__) from error
         except (trio.BrokenResourceError, OSError, hiredis.ProtocolError) as error:
             raise StoreUnavailableError(str(error) or type(error).__name__) from error
+        self._on_answer()
         for reply in replies:
             if isinstance(reply, hiredis.ReplyError):
                 raise StoreCommandError(str(reply))
--- a/brackenlane/store/publisher.py
+++ b/brackenlane/store/publisher.py
@@ -3,75 +3,119 @@
 from __future__ import annotations
 
 import logging
-from collections import OrderedDict, deque
+import random
+from enum import Enum, auto
 
+import trio
+
+from brackenlane.coldstart.pacing import jittered_backoff
 from brackenlane.coldstart.stream_position import missing_orders
 from brackenlane.discovery.records import OperatorOrder
 from brackenlane.discovery.registry import Registry
 from brackenlane.limits import Limits
 from brackenlane.store.connection import Connection
-from brackenlane.store.errors import StoreDataError, StoreError, StoreUnavailableError
+from brackenlane.store.errors import (
+    StoreDataError,
+    StoreError,
+    StoreTimeoutError,
+    StoreUnavailableError,
+)
 from brackenlane.store.event_applier import EventApplier
-from brackenlane.store.event_codec import OrderGiven, StoreEvent, decode_order, encode_event
+from brackenlane.store.event_codec import OrderGiven, StoreEvent, decode_order
 from brackenlane.store.event_commands import transaction, write_commands
 from brackenlane.store.keys import StoreKeys
+from brackenlane.store.outbox import Outbox
 
 log = logging.getLogger(__name__)
 
+MIN_RETRY_DELAY = 0.1  # seconds after a failure, whatever wakes the publisher
+FIRST_RETRY_DELAY = 0.3  # seconds; bound of the jitter after the first failure
+MAX_RETRY_DELAY = 5.0  # seconds; largest bound of the jitter
+
+
+class PublishResult(Enum):
+    """What has become of an event."""
+
+    WRITTEN = auto()
+    QUEUED = auto()  # written once the store answers
+    REFUSED = auto()  # too many events wait; the other routers are not notified of it
+
 
 class Publisher:
-    """Owns the events that are not written to the store yet, and those not read back from the stream yet."""
+    """Writes the events of the outbox to the store; `run` retries until each is written."""
 
-    def __init__(self, connection: Connection, keys: StoreKeys, limits: Limits) -> None:
+    def __init__(
+        self, connection: Connection, keys: StoreKeys, limits: Limits, outbox: Outbox, rng: random.Random
+    ) -> None:
+        """connection: used by no other component, whose failure would end a write in the middle."""
+        self.outbox = outbox
         self._connection = connection
         self._keys = keys
         self._max_stream_length = limits.max_store_events
-        self._max_unacknowledged = limits.max_unshared_changes
-        self._pending: deque[StoreEvent] = deque(maxlen=limits.max_unshared_changes)
-        # The events not read back yet, by encoded event, oldest first. A store that is restored to an older
-        # state may have lost them.
-        self._unacknowledged: OrderedDict[str, StoreEvent] = OrderedDict()
-
-    async def publish(self, event: StoreEvent) -> bool:
-        """Write an event to the store; False if it was queued until the store is available again."""
-        # Queued events are written first: a full load must not undo a drain that is not in the store yet.
-        if not self._pending and await self._send(event):
-            return True
-        self._pending.append(event)
-        return False
-
-    async def flush_pending(self) -> None:
-        """Write the queued events. Raises StoreUnavailableError if one cannot be sent."""
-        while self._pending:
-            if not await self._send(self._pending[0]):
-                raise StoreUnavailableError("what changed meanwhile can't be shared yet")
-            self._pending.popleft()
-
-    def acknowledge(self, event_text: str) -> None:
-        """Mark an event as read back from the stream."""
-        self._unacknowledged.pop(event_text, None)
+        self._rng = rng
+        self._lock = trio.Lock()
+        self._wake_up = trio.Event()
+
+    async def publish(self, event: StoreEvent) -> PublishResult:
+        """Add an event to the outbox and try to write it and all before it."""
+        if not self.outbox.add(event):
+            return PublishResult.REFUSED
+        try:
+            await self.flush()
+        except StoreError as error:
+            log.warning("%s not published: %s", type(event).__name__, error)
+            self.wake_up()
+            return PublishResult.QUEUED
+        return PublishResult.WRITTEN
+
+    def wake_up(self) -> None:
+        """Retry soon: there is a new event, or the store has answered on another connection."""
+        self._wake_up.set()
+
+    async def run(self) -> None:
+        """Write the events that could not be written when they were published; until cancelled."""
+        failures = 0
+        while True:
+            self._wake_up = trio.Event()
+            try:
+                await self.flush()
+            except StoreError as error:
+                failures += 1
+                log.warning("changes wait for the store: %s", error)
+                await trio.sleep(MIN_RETRY_DELAY)
+                delay = jittered_backoff(failures, FIRST_RETRY_DELAY, MAX_RETRY_DELAY, self._rng)
+                with trio.move_on_after(delay):
+                    await self._wake_up.wait()
+            else:
+                failures = 0
+                await self._wake_up.wait()
+
+    async def flush(self) -> None:
+        """Write the events that were not sent yet, oldest first. Raises StoreError if one cannot be sent."""
+        async with self._lock:
+            while event := self.outbox.next_unsent():
+                await self._write_on_live_connection(event)
+                self.outbox.mark_sent(event)
 
     async def resend_unacknowledged(self) -> None:
-        """Rewrite the events that were not read back. Raises StoreUnavailableError if one cannot be sent."""
-        events = list(self._unacknowledged.values())
-        self._unacknowledged.clear()
-        for event in events:
-            if not await self._send(event):
-                raise StoreUnavailableError("what the store has lost can't be shared again yet")
-
-    async def _send(self, event: StoreEvent) -> bool:
-        self._unacknowledged[encode_event(event)] = event
-        if len(self._unacknowledged) > self._max_unacknowledged:
-            self._unacknowledged.popitem(last=False)
+        """Write again all events that were not read back. Raises StoreError if one cannot be sent."""
+        self.outbox.mark_all_unsent()
+        await self.flush()
+
+    async def _write_on_live_connection(self, event: StoreEvent) -> None:
+        """Write an event; once more if the connection broke, since the store may have ended it at rest."""
+        try:
+            await self._write(event)
+        except StoreTimeoutError:
+            raise
+        except StoreUnavailableError:
+            await self._write(event)
+
+    async def _write(self, event: StoreEvent) -> None:
         commands = write_commands(event, self._keys, self._max_stream_length)
         if len(commands) > 1:
             commands = transaction(commands)
-        try:
-            await self._connection.call(*commands)
-        except StoreError as error:
-            log.warning("%s not published: %s", type(event).__name__, error)
-            return False
-        return True
+        await self._connection.call(*commands)
 
 
 class StoreRepair:
@@ -108,7 +152,7 @@
                 await self._republish_order(server, orders[server])
 
     async def _republish_order(self, server: str, order: OperatorOrder) -> None:
-        if not await self._publisher.publish(OrderGiven(server, order)):
+        if await self._publisher.publish(OrderGiven(server, order)) is not PublishResult.WRITTEN:
             raise StoreUnavailableError("orders that the store has lost can't be shared again yet")
 
 
--- a/brackenlane/store/replica.py
+++ b/brackenlane/store/replica.py
@@ -6,7 +6,7 @@
 from brackenlane.discovery.registry import Registry
 from brackenlane.store.event_applier import EventApplier
 from brackenlane.store.event_codec import StreamEntry
-from brackenlane.store.publisher import Publisher
+from brackenlane.store.outbox import Outbox
 from brackenlane.store.reader import StoreReader, StoreState
 
 
@@ -18,14 +18,14 @@
         reader: StoreReader,
         registry: Registry,
         applier: EventApplier,
-        publisher: Publisher,
+        outbox: Outbox,
         position: StreamPosition,
     ) -> None:
         self.position = position
         self._reader = reader
         self._registry = registry
         self._applier = applier
-        self._publisher = publisher
+        self._outbox = outbox
 
     async def catch_up(self, state: StoreState) -> bool:
         """Apply the entries after the position; False if some may be missing and a full load is needed."""
@@ -64,7 +64,7 @@
 
     def _apply(self, entries: list[StreamEntry]) -> None:
         for entry in entries:
-            self._publisher.acknowledge(entry.event_text)
+            self._outbox.acknowledge(entry.event_text)
             if entry.position > self.position:
                 self._applier.apply_entry(entry)
                 self.position = entry.position
--- a/brackenlane/store/shared_store.py
+++ b/brackenlane/store/shared_store.py
@@ -11,7 +11,7 @@
 import logging
 import random
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 import trio
@@ -21,6 +21,7 @@
 from brackenlane.coldstart.phases import StartupEvent, StartupPhases
 from brackenlane.coldstart.stream_position import STREAM_START, StreamPosition
 from brackenlane.config import Endpoint
+from brackenlane.core.service_tasks import run_service
 from brackenlane.discovery.records import CacheDefinition
 from brackenlane.discovery.registry import Registry
 from brackenlane.limits import Limits
@@ -32,6 +33,7 @@
 from brackenlane.store.idempotency_claims import RedisClaimStore
 from brackenlane.store.keys import StoreKeys
 from brackenlane.store.load_tickets import LoadTickets
+from brackenlane.store.outbox import Outbox
 from brackenlane.store.publisher import Publisher, StoreRepair
 from brackenlane.store.reader import StoreReader, StoreState
 from brackenlane.store.recent_purges import RecentPurges
@@ -74,9 +76,11 @@
         self._keys = StoreKeys(settings.site)
         self._random = random.Random()
         self.pacing = StorePacing(settings.router_name, settings.capacity, self._random)
-        # Two connections: a read that blocks until there are updates must not delay a claim.
-        command_connection = Connection(settings.endpoint, limits.store_command_timeout)
-        self._read_connection = Connection(settings.endpoint, limits.store_command_timeout)
+        # Separate connections: a read that blocks until there are updates must not delay a claim, and a claim
+        # that fails must not end the publisher's transaction.
+        command_connection = self._connection(on_answer=self._on_answer)
+        publish_connection = self._connection()
+        self._read_connection = self._connection(on_answer=self._on_answer)
         self._reader = StoreReader(self._read_connection, self._keys, limits)
         self._tickets = LoadTickets(
             self._read_connection, self._keys, self.pacing, lifetime=limits.store_ticket_lifetime
@@ -88,9 +92,10 @@
         self.claims = RedisClaimStore(
             command_connection, self._keys, settings.router_name, limits.claim_lifetime
         )
-        self.publisher = Publisher(command_connection, self._keys, limits)
+        self.outbox = Outbox(limits.max_unshared_changes)
+        self.publisher = Publisher(publish_connection, self._keys, limits, self.outbox, self._random)
         self._repair = StoreRepair(command_connection, self._keys, self.publisher, registry, self.applier)
-        self.replica = Replica(self._reader, registry, self.applier, self.publisher, position)
+        self.replica = Replica(self._reader, registry, self.applier, self.outbox, position)
 
     @property
     def position(self) -> StreamPosition:
@@ -102,11 +107,25 @@
         """The recent purges: Unix seconds by object and group."""
         return self._purges.by_target
 
+    def _connection(self, on_answer: Callable[[], None] = lambda: None) -> Connection:
+        return Connection(self._settings.endpoint, self._limits.store_command_timeout, on_answer)
+
+    def _on_answer(self) -> None:
+        """Retry what waits for the store, which has answered on another connection."""
+        if self.outbox.next_unsent():
+            self.publisher.wake_up()
+
     async def run(self, file_caches: Sequence[CacheDefinition]) -> None:
-        """Follow the store until cancelled; while the store is unavailable, the registry does not change.
+        """Follow the store and publish to it until cancelled.
 
+        While the store is unavailable, the registry does not change, and published events wait.
         file_caches: the caches of the operator's file, to be registered in the store.
         """
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(run_service, "publisher", self.publisher.run)
+            await self._follow(file_caches)
+
+    async def _follow(self, file_caches: Sequence[CacheDefinition]) -> None:
         registration = FileRegistration(file_caches, self._keys, self._settings.router_name, self._limits)
         await trio.sleep(self.pacing.initial_delay())
         while True:
@@ -141,8 +160,7 @@
         return failures[0]
 
     async def _catch_up(self, registration: FileRegistration) -> None:
-        """Synchronize store and registry: write queued events, then read updates or load everything."""
-        await self.publisher.flush_pending()
+        """Synchronize the registry with the store: read updates, or load everything."""
         requested_at = time.monotonic()
         state = await self._reader.read_state(
             self.replica.position, registration.key, sorted(self._registry.merge.orders)
--- /dev/null
+++ b/tests/test_outbox.py
@@ -0,0 +1,141 @@
+"""What a console has answered reaches the store and the other routers, whatever happens to the store."""
+
+from __future__ import annotations
+
+import os
+import random
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+import trio
+import trio.testing
+
+from brackenlane.clock import steady_time
+from brackenlane.coldstart.pacing import Capacity
+from brackenlane.coldstart.phases import StartupPhases
+from brackenlane.discovery.merge import MembershipMerge
+from brackenlane.discovery.records import OperatorOrder, Policy
+from brackenlane.discovery.registry import Registry
+from brackenlane.lab.stand_ins.redis import Redis
+from brackenlane.limits import Limits
+from brackenlane.store.event_codec import OrderGiven, PurgeRequested, StoreEvent, encode_event
+from brackenlane.store.outbox import Outbox
+from brackenlane.store.publisher import PublishResult
+from brackenlane.store.shared_store import SharedStore, StoreSettings
+from tests.stand_ins import with_trio
+
+SITE = "branch.example"
+STALL = 1.0  # seconds by which a stalled store delays its replies; more than a command may take
+RETRY_LIMIT = 3.0  # seconds; a blocked read of the stream takes 5 s, so that its end cannot be what helps
+
+
+def drain(cache: str, at: float = 0.0) -> OrderGiven:
+    """Return an order to drain a cache, given now unless a time is given."""
+    return OrderGiven(cache, OperatorOrder(True, at or steady_time(), "the console of a"))
+
+
+def open_store(redis: Redis, name: str = "a") -> SharedStore:
+    """Return one router's access to a store."""
+    registry = Registry(MembershipMerge(Policy()), lambda _: None, lambda *_: None)
+    settings = StoreSettings(("127.0.0.1", redis.port), SITE, name, 6.0, Capacity())
+    return SharedStore(settings, registry, Limits(), StartupPhases(0.0))
+
+
+@asynccontextmanager
+async def following_store(redis: Redis) -> AsyncIterator[SharedStore]:
+    """Run one router's access to a store that it has read."""
+    async with trio.open_nursery() as nursery:
+        await redis.open(nursery)
+        shared = open_store(redis)
+        nursery.start_soon(shared.run, [])
+        await redis.read_started.wait()
+        yield shared
+        nursery.cancel_scope.cancel()
+
+
+def events_in_store(redis: Redis) -> list[str]:
+    """Return the encoded events of the stream."""
+    return [fields[1] for _, fields in redis.keys.get(f"brackenlane:{SITE}:events", [])]
+
+
+async def wait_until_in_store(redis: Redis, event: StoreEvent) -> None:
+    """Wait until the stream has an event."""
+    with trio.fail_after(RETRY_LIMIT):
+        while encode_event(event) not in events_in_store(redis):
+            await trio.sleep(0.01)
+
+
+@pytest.mark.parametrize("event", [drain("box-1"), PurgeRequested("", 17, 1.7e9)], ids=["drain", "purge"])
+@with_trio
+async def test_change_in_a_short_stall_is_published_after_it(event: StoreEvent) -> None:
+    """Guards against changes that waited until the connection that reads the stream failed, too."""
+    redis = Redis()
+    async with following_store(redis) as shared:
+        connections = redis.connections
+        redis.extra_delay = STALL
+        assert await shared.publisher.publish(event) is PublishResult.QUEUED
+        redis.extra_delay = 0.0
+        await wait_until_in_store(redis, event)
+        assert await shared.publisher.publish(drain("box-3")) is PublishResult.WRITTEN
+        # Only the publisher has opened connections: the one that reads did not fail.
+        assert redis.connections - connections <= 4
+
+
+@with_trio
+async def test_change_on_a_connection_that_ended_at_rest_is_published_at_once() -> None:
+    """Guards against a drain that has to wait since the store has closed the idle connection."""
+    redis = Redis()
+    async with following_store(redis) as shared:
+        assert await shared.publisher.publish(drain("box-1")) is PublishResult.WRITTEN
+        stream = shared.publisher._connection._stream
+        assert stream
+        with socket.socket(fileno=os.dup(stream.socket.fileno())) as duplicate:
+            duplicate.shutdown(socket.SHUT_RDWR)  # unnoticed by the router, as the store's end at rest is
+        await trio.testing.wait_all_tasks_blocked(0.05)
+        assert await shared.publisher.publish(drain("box-2")) is PublishResult.WRITTEN
+
+
+@with_trio
+async def test_waiting_change_is_written_when_another_connection_gets_an_answer() -> None:
+    """Guards against a change that waits for its backoff although the store serves this router again."""
+    redis = Redis()
+    async with following_store(redis) as shared:
+        shared.publisher._rng = random.Random()
+        shared.publisher._rng.uniform = lambda *_: 60.0  # type: ignore[method-assign]
+        redis.extra_delay = STALL
+        assert await shared.publisher.publish(drain("box-1")) is PublishResult.QUEUED
+        await trio.sleep(1.0)  # the publisher has failed again and waits
+        redis.extra_delay = 0.0
+        assert shared.outbox.next_unsent()
+        with trio.fail_after(RETRY_LIMIT):
+            while shared.outbox.next_unsent():
+                await shared.claims.claim("txn-1")
+                await trio.sleep(0.05)
+
+
+def test_later_change_takes_the_place_of_an_earlier_one() -> None:
+    """Guards against an older order that is written after a later one, and against a queue of repeats."""
+    outbox = Outbox(limit=2)
+    first, later = drain("box-1", 5.0), OrderGiven("box-1", OperatorOrder(False, 6.0, "the console of a"))
+    assert outbox.add(first)
+    assert outbox.add(PurgeRequested("clip", -1, 1.0))
+    assert outbox.add(later)
+    outbox.mark_sent(first)  # its write ends only now
+    assert outbox.event_texts == (encode_event(PurgeRequested("clip", -1, 1.0)), encode_event(later))
+    outbox.acknowledge(encode_event(first))
+    assert len(outbox.event_texts) == 2
+
+
+def test_full_outbox_refuses_a_change_and_drops_none_that_waits() -> None:
+    """Guards against an answered change that is dropped for a later one; one already written may be."""
+    outbox = Outbox(limit=2)
+    assert outbox.add(drain("box-1", 1.0))
+    assert outbox.add(drain("box-2", 2.0))
+    assert not outbox.add(drain("box-3", 3.0))
+    oldest = outbox.next_unsent()
+    assert oldest == drain("box-1", 1.0)
+    outbox.mark_sent(oldest)
+    assert outbox.add(drain("box-3", 3.0))
+    assert outbox.next_unsent() == drain("box-2", 2.0)
--- a/tests/test_stored_forms.py
+++ b/tests/test_stored_forms.py
@@ -43,6 +43,7 @@
 from brackenlane.platform_router import open_handover_log
 from brackenlane.routing.members import Role
 from brackenlane.store.event_codec import CacheDefined, OrderGiven, PurgeRequested
+from brackenlane.store.publisher import PublishResult
 from brackenlane.store.shared_store import SharedStore, StoreSettings
 from tests.stand_ins import with_trio
 
@@ -121,11 +122,13 @@
     """Write values in every format that the program writes to the store."""
     shared, _ = open_shared_store(redis)
     await run_until_current(redis, shared, [EDGE])
-    assert await shared.publisher.publish(CacheDefined(PARENT))
-    assert await shared.publisher.publish(OrderGiven("e-1", DRAIN))
-    assert await shared.publisher.publish(OrderGiven("p-1", RESTORE))
-    assert await shared.publisher.publish(PurgeRequested("clip", -1, 1_700_000_150.5))
-    assert await shared.publisher.publish(PurgeRequested("", 7, 1_700_000_160.0))
+    assert await shared.publisher.publish(CacheDefined(PARENT)) is PublishResult.WRITTEN
+    assert await shared.publisher.publish(OrderGiven("e-1", DRAIN)) is PublishResult.WRITTEN
+    assert await shared.publisher.publish(OrderGiven("p-1", RESTORE)) is PublishResult.WRITTEN
+    assert (
+        await shared.publisher.publish(PurgeRequested("clip", -1, 1_700_000_150.5)) is PublishResult.WRITTEN
+    )
+    assert await shared.publisher.publish(PurgeRequested("", 7, 1_700_000_160.0)) is PublishResult.WRITTEN
     assert await shared.claims.claim("txn-1") is ClaimResult.OURS
     assert await shared.claims.claim("txn-2") is ClaimResult.OURS
     await shared.claims.release("txn-2")
