Write a console's change to disk before it is answered, and share it after a restart

Of two drains within 1 s the second one was lost by a kill although it had been answered, with last_list as well.

Without last_list nothing of an operator's orders was on disk at all.

Without last_list the orders and these events stand in a file of the same form beside the console's socket. An answer says so if the write failed.

--- a/brackenlane/appliance/config.py
+++ b/brackenlane/appliance/config.py
@@ -52,6 +52,11 @@
     store_capacity: Capacity
     coldstart: ColdStartTable
 
+    @property
+    def console_changes_path(self) -> Path:
+        """Path of the file that keeps the console's orders and purges if no snapshot is configured."""
+        return self.console.with_name(f"{self.console.name}.changes")
+
 
 def load(path: str) -> ApplianceConfig:
     """Return the configuration from the file at a path. Raises ConfigError that lists all faults."""
--- a/brackenlane/appliance/program.py
+++ b/brackenlane/appliance/program.py
@@ -13,7 +13,7 @@
 from brackenlane.coldstart.phases import StartupEvent, StartupPhases
 from brackenlane.coldstart.stream_position import STREAM_START
 from brackenlane.config import DEFAULT_MEMORY_MB, ConfigError, Endpoint
-from brackenlane.console.admin_console import AdminConsole, ConsoleSources
+from brackenlane.console.admin_console import AdminConsole, ConsoleSources, Persistence
 from brackenlane.console.cache_health import CacheHealth
 from brackenlane.console.server import open_listener, serve_client
 from brackenlane.core.engine import RequestEngine
@@ -25,7 +25,7 @@
 from brackenlane.discovery.merge import MembershipMerge
 from brackenlane.discovery.registry import Registry
 from brackenlane.discovery.resolver import Resolver
-from brackenlane.discovery.snapshot import SnapshotWriter
+from brackenlane.discovery.snapshot import SnapshotContent, SnapshotWriter
 from brackenlane.dns.responder import Responder
 from brackenlane.dns.server import Server
 from brackenlane.lifecycle import listen, serve_until_signal
@@ -89,11 +89,10 @@
             components.engine, limits, components.poller, store.claims if store else None, nursery
         )
         front.is_ready = lambda: components.phases.is_store_read or config.coldstart.ready == "listed"
-        start_console(config, limits, components, front, store, nursery)
+        start_console(config, limits, components, front, Persistence(store, snapshot_writer), nursery)
         await serve_until_signal(front, config.http, config.name)
         config.console.unlink(missing_ok=True)
-        if snapshot_writer:
-            await snapshot_writer.write_last()
+        await snapshot_writer.write_last()
         nursery.cancel_scope.cancel()
 
 
@@ -184,8 +183,10 @@
         components.phases,
         loaded_snapshot.position if loaded_snapshot and bootstrap.is_snapshot_trusted else STREAM_START,
     )
-    if loaded_snapshot:
-        store.applier.restore_purges({(obj, group): at for obj, group, at in loaded_snapshot.purges})
+    changes = bootstrap.operator_changes
+    if changes:
+        store.applier.restore_purges({(obj, group): at for obj, group, at in changes.purges})
+        store.restore_unshared(changes.unshared)
     nursery.start_soon(run_service, "shared store", store.run, list(config.discovery.caches))
     nursery.start_soon(run_service, "start without store", bootstrap.fall_back_without_store, limits)
     return store
@@ -197,12 +198,18 @@
     components: ServingComponents,
     store: SharedStore | None,
     nursery: trio.Nursery,
-) -> SnapshotWriter | None:
-    """Start writing snapshots of the registry and the store position, if the file names a snapshot file."""
+) -> SnapshotWriter:
+    """Start writing snapshots; without a configured file only of what operators have changed."""
     path = config.discovery.snapshot_path
-    if path is None:
-        return None
-    writer = SnapshotWriter(components.registry, path, limits.snapshot_interval, store)
+    writer = SnapshotWriter(
+        components.registry,
+        path or config.console_changes_path,
+        limits.snapshot_interval,
+        store,
+        SnapshotContent.EVERYTHING if path else SnapshotContent.OPERATOR_CHANGES,
+    )
+    if store:
+        store.outbox.on_change = writer.notify_changed
     nursery.start_soon(run_service, "snapshot", writer.run)
     return writer
 
@@ -240,12 +247,12 @@
     limits: Limits,
     components: ServingComponents,
     front: HttpFront,
-    store: SharedStore | None,
+    persistence: Persistence,
     nursery: trio.Nursery,
 ) -> None:
     """Start serving console clients on the Unix socket that the file names."""
     sources = ConsoleSources(
-        components.registry, store, components.observer.health, front.figures, components.phases
+        components.registry, persistence, components.observer.health, front.figures, components.phases
     )
     console = AdminConsole(config.name, sources)
 
--- a/brackenlane/appliance/startup.py
+++ b/brackenlane/appliance/startup.py
@@ -27,8 +27,9 @@
 class RegistryBootstrap:
     """Loads the snapshot of one router and fills the registry at startup.
 
-    loaded_snapshot: the snapshot; None if there is none. is_snapshot_trusted: whether the caches of the
-    snapshot may be used before the store has answered; also true if there is no snapshot.
+    loaded_snapshot: the snapshot; None if there is none. operator_changes: the snapshot, or without one
+    configured the file of the console's changes; None if there is none. is_snapshot_trusted: whether the
+    caches of the snapshot may be used before the store has answered; also true if there is no snapshot.
     """
 
     def __init__(self, config: ApplianceConfig, registry: Registry, phases: StartupPhases) -> None:
@@ -38,6 +39,7 @@
         self._phases = phases
         path = config.discovery.snapshot_path
         self.loaded_snapshot = snapshot.load(path) if path else None
+        self.operator_changes = self.loaded_snapshot if path else snapshot.load(config.console_changes_path)
         self.is_snapshot_trusted = True
 
     def fill_registry(self) -> None:
@@ -49,10 +51,10 @@
             self.is_snapshot_trusted = self._config.redis is None or self._is_younger_than(
                 self._config.coldstart.trust, now
             )
-            if self.is_snapshot_trusted:
-                self._restore(self.loaded_snapshot)
-            else:
-                self._restore_orders(self.loaded_snapshot, now)
+        if self.loaded_snapshot and self.is_snapshot_trusted:
+            self._restore(self.loaded_snapshot)
+        elif self.operator_changes:
+            self._restore_orders(self.operator_changes, now)
         for cache in self._config.discovery.caches:
             self._registry.define(DefinitionSource.FILE, cache)
 
--- a/brackenlane/console/admin_console.py
+++ b/brackenlane/console/admin_console.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Protocol
 
 from brackenlane.admission.load_metrics import LoadMetrics
 from brackenlane.clock import steady_time
@@ -35,12 +36,36 @@
 }
 
 
+# The notes on a change that is not on disk, by what has become of it at the store.
+NOT_STORED_NOTES = {
+    None: "not written to disk: a restart forgets it\n",
+    PublishResult.WRITTEN: "",
+    PublishResult.QUEUED: "not written to disk: a restart before that forgets it\n",
+    PublishResult.REFUSED: "not written to disk: a restart forgets it\n",
+}
+
+
+class ChangeStorage(Protocol):
+    """Keeps changes over a restart of this router."""
+
+    async def store_change(self) -> bool:
+        """Write the changes made so far to disk; return whether they are there."""
+
+
+@dataclass(frozen=True, slots=True)
+class Persistence:
+    """Where the console's changes are kept: the shared store, if there is one, and this router's disk."""
+
+    store: SharedStore | None
+    disk: ChangeStorage
+
+
 @dataclass(frozen=True, slots=True)
 class ConsoleSources:
     """The components of the router that the console shows and changes."""
 
     registry: Registry
-    store: SharedStore | None
+    persistence: Persistence
     health: CacheHealth
     figures: LoadMetrics
     phases: StartupPhases
@@ -53,7 +78,8 @@
         self._router_name = router_name
         self._sources = sources
         self._registry = sources.registry
-        self._store = sources.store
+        self._store = sources.persistence.store
+        self._disk = sources.persistence.disk
 
     async def execute(self, line: str) -> str:
         """Execute one command and return the lines of its answer."""
@@ -119,10 +145,13 @@
         return await self._publish(f"purged {target}\n", PurgeRequested(obj, group, now))
 
     async def _publish(self, answer: str, event: StoreEvent) -> str:
-        """Publish a change to the other routers; return the answer, with a note if that failed."""
-        if self._store is None:
-            return answer
-        return answer + PUBLISH_NOTES[await self._store.publisher.publish(event)]
+        """Publish a change to the other routers and store it; return the answer with notes on what failed."""
+        result = await self._store.publisher.publish(event) if self._store else None
+        if result:
+            answer += PUBLISH_NOTES[result]
+        if not await self._disk.store_change():
+            answer += NOT_STORED_NOTES[result]
+        return answer
 
 
 def _is_group(text: str) -> bool:
--- a/brackenlane/discovery/snapshot.py
+++ b/brackenlane/discovery/snapshot.py
@@ -8,14 +8,16 @@
 import logging
 import os
 from dataclasses import replace
+from enum import Enum, auto
 from pathlib import Path
 from typing import Protocol
 
 import trio
 
 from brackenlane.clock import steady_time
-from brackenlane.coldstart.stream_position import StreamPosition
+from brackenlane.coldstart.stream_position import STREAM_START, StreamPosition
 from brackenlane.discovery.errors import SnapshotError, SnapshotTooLargeError
+from brackenlane.discovery.records import PersistedMembership
 from brackenlane.discovery.registry import Registry
 from brackenlane.discovery.snapshot_codec import Snapshot, dump, parse
 
@@ -25,7 +27,7 @@
 
 
 class StreamProgress(Protocol):
-    """The state of the shared store's event stream that a snapshot contains."""
+    """The state of the shared store's client that a snapshot contains."""
 
     @property
     def position(self) -> StreamPosition:
@@ -35,6 +37,10 @@
     def purges(self) -> dict[tuple[str, int], float]:
         """The times of recent purges in Unix seconds, by object and group."""
 
+    @property
+    def unshared(self) -> tuple[str, ...]:
+        """The encoded events that are not known to be in the store, oldest first."""
+
 
 def load(path: Path) -> Snapshot | None:
     """Load a snapshot. Return None without a file or if it is unusable, in which case it is renamed."""
@@ -77,20 +83,41 @@
         os.close(folder)
 
 
-class SnapshotWriter:
-    """Writes the snapshot after changes, at most once per interval. A failed write is logged and retried."""
+class SnapshotContent(Enum):
+    """What a snapshot contains."""
+
+    EVERYTHING = auto()
+    OPERATOR_CHANGES = auto()  # the operators' orders, purges and unshared events, but no caches
 
-    def __init__(self, registry: Registry, path: Path, interval: float, store: StreamProgress | None) -> None:
-        """`interval`: seconds; `store`: progress in the shared store's event stream, if a store is used."""
+
+class SnapshotWriter:
+    """Writes the snapshot after changes, at most once per interval, and before a change is answered.
+
+    A failed write is logged and retried.
+    """
+
+    def __init__(
+        self,
+        registry: Registry,
+        path: Path,
+        interval: float,
+        store: StreamProgress | None,
+        content: SnapshotContent = SnapshotContent.EVERYTHING,
+    ) -> None:
+        """`interval`: seconds; `store`: the client of the shared store, if one is used."""
         self._registry = registry
+        self._content = content
+        self._lock = trio.Lock()
+        self._is_shutting_down = False
         self._path = path
         self._interval = interval
         self._store = store
         self._changed = trio.Event()
         self._written = b""  # last written document, encoded with `saved_at` 0 for comparison
-        registry.on_change_callbacks.append(self._notify_changed)
+        registry.on_change_callbacks.append(self.notify_changed)
 
-    def _notify_changed(self) -> None:
+    def notify_changed(self) -> None:
+        """Write the snapshot within the interval."""
         self._changed.set()
 
     async def run(self) -> None:
@@ -98,33 +125,50 @@
         while True:
             await self._changed.wait()
             self._changed = trio.Event()
-            try:
-                await self.write()
-            except OSError as error:
-                log.warning(
-                    "snapshot %s not written: %s; next attempt in %.1f s", self._path, error, self._interval
-                )
-                self._changed.set()
-            except Exception:  # a value that cannot be encoded must not end the program
-                log.exception("snapshot %s cannot be encoded", self._path)
+            await self.store_change()
             await trio.sleep(self._interval)
 
     async def write_last(self) -> None:
         """Write the state at a graceful shutdown; a failure is logged, and the last snapshot remains."""
+        self._is_shutting_down = True
+        await self.store_change()
+
+    async def store_change(self) -> bool:
+        """Write the state now, for example before a change is answered; return whether it is on disk.
+
+        A failure is logged. If it may pass, `run` tries again within the interval.
+        """
         try:
-            await self.write(is_shutdown=True)
-        except Exception:
-            log.exception("snapshot %s not written at the shutdown", self._path)
-
-    async def write(self, is_shutdown: bool = False) -> None:
-        """Write the state if it changed since the last write; `is_shutdown`: at a graceful shutdown."""
-        snapshot = Snapshot(self._registry.merge.snapshot_content(), 0.0, is_shutdown=is_shutdown)
-        if self._store:
-            purges = tuple((obj, group, at) for (obj, group), at in self._store.purges.items())
-            snapshot = replace(snapshot, position=self._store.position, purges=purges)
-        document = dump(snapshot)
-        if document == self._written:
-            return
-        data = dump(replace(snapshot, saved_at=steady_time()))
-        await trio.to_thread.run_sync(save, self._path, data)
-        self._written = document
+            await self.write()
+        except OSError as error:
+            log.warning("snapshot %s not written: %s", self._path, error)
+            self.notify_changed()
+            return False
+        except Exception:  # a value that cannot be encoded must not end the program
+            log.exception("snapshot %s cannot be encoded", self._path)
+            return False
+        return True
+
+    async def write(self) -> None:
+        """Write the state if it changed since the last write."""
+        async with self._lock:
+            snapshot = self._snapshot()
+            document = dump(snapshot)
+            if document == self._written:
+                return
+            data = dump(replace(snapshot, saved_at=steady_time()))
+            await trio.to_thread.run_sync(save, self._path, data)
+            self._written = document
+
+    def _snapshot(self) -> Snapshot:
+        """Return the present state, without the time."""
+        merge = self._registry.merge
+        is_complete = self._content is SnapshotContent.EVERYTHING
+        memory = merge.snapshot_content() if is_complete else PersistedMembership(orders=dict(merge.orders))
+        snapshot = Snapshot(memory, 0.0, is_shutdown=self._is_shutting_down)
+        if self._store is None:
+            return snapshot
+        purges = tuple((obj, group, at) for (obj, group), at in self._store.purges.items())
+        # The position stands for the caches, too: without them, all has to be read again.
+        position = self._store.position if is_complete else STREAM_START
+        return replace(snapshot, position=position, purges=purges, unshared=self._store.unshared)
--- a/brackenlane/discovery/snapshot_codec.py
+++ b/brackenlane/discovery/snapshot_codec.py
@@ -44,27 +44,28 @@
     )
     is_shutdown: bool = False  # True: written at a graceful shutdown; False when read: crash or power loss
     purges: tuple[tuple[str, int, float], ...] = ()  # recent purges: object, group, Unix time
+    unshared: tuple[str, ...] = ()  # encoded events that are not known to be in the shared store
 
 
 def dump(snapshot: Snapshot) -> bytes:
     """Encode a snapshot file."""
     memory = snapshot.memory
-    body = orjson.dumps(
-        {
-            "saved": snapshot.saved_at,
-            "place": str(snapshot.position),
-            "left": snapshot.is_shutdown,
-            "purges": snapshot.purges,
-            "others": [encode_definition(definition) for definition in memory.definitions],
-            "listed": {
-                srv: [encode_definition(definition) for definition in definitions]
-                for srv, definitions in memory.srv_members.items()
-            },
-            "places": memory.addresses,
-            "orders": [encode_order(cache_id, order) for cache_id, order in memory.orders.items()],
-        }
-    )
-    return wrap_with_checksum(body)
+    document: dict[str, Any] = {
+        "saved": snapshot.saved_at,
+        "place": str(snapshot.position),
+        "left": snapshot.is_shutdown,
+        "purges": snapshot.purges,
+        "others": [encode_definition(definition) for definition in memory.definitions],
+        "listed": {
+            srv: [encode_definition(definition) for definition in definitions]
+            for srv, definitions in memory.srv_members.items()
+        },
+        "places": memory.addresses,
+        "orders": [encode_order(cache_id, order) for cache_id, order in memory.orders.items()],
+    }
+    if snapshot.unshared:
+        document["unshared"] = snapshot.unshared
+    return wrap_with_checksum(orjson.dumps(document))
 
 
 def wrap_with_checksum(body: bytes) -> bytes:
@@ -106,6 +107,7 @@
         position,
         document.get("left", False) is True,
         tuple((str(obj), int(group), float(at)) for obj, group, at in document.get("purges", ())),
+        tuple(str(text) for text in document.get("unshared", ())),
     )
 
 
--- a/brackenlane/store/event_codec.py
+++ b/brackenlane/store/event_codec.py
@@ -5,15 +5,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
 from typing import Any
 
 import orjson
 
 from brackenlane.coldstart.stream_position import StreamPosition
 from brackenlane.discovery.definition_codec import encode_definition, read_definition
-from brackenlane.discovery.order_codec import encode_order, read_order
+from brackenlane.discovery.order_codec import encode_order, read_order, read_own_order
 from brackenlane.discovery.records import CacheDefinition, OperatorOrder
 from brackenlane.store.errors import StoreDataError
 
@@ -126,6 +126,19 @@
     return None
 
 
+def decode_own_event(text: str, now: float) -> StoreEvent | None:
+    """Return an event that this router encoded before its restart, to be published again; None for others.
+
+    A purge counts as requested at `now` (Unix seconds). An order from before the clock was set back counts
+    as given now.
+    """
+    document = load_json(text)
+    if isinstance(document, dict) and "order" in document:
+        return _decode_order(document["order"], read_own_order)
+    event = decode_event(text)
+    return replace(event, requested_at=now) if isinstance(event, PurgeRequested) else event
+
+
 def decode_purge(text: str) -> PurgeRequested | None:
     """Return the purge of a stream entry; None for any other event, which is not decoded further."""
     document = load_json(text)
@@ -149,9 +162,9 @@
         raise StoreDataError(str(error)) from error
 
 
-def _decode_order(value: Any) -> OrderGiven:
+def _decode_order(value: Any, read: Callable[[Any], tuple[str, OperatorOrder]] = read_order) -> OrderGiven:
     try:
-        server, order = read_order(value)
+        server, order = read(value)
     except ValueError as error:
         raise StoreDataError(str(error)) from error
     return OrderGiven(server, order)
--- a/brackenlane/store/outbox.py
+++ b/brackenlane/store/outbox.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from brackenlane.store.event_codec import CacheDefined, OrderGiven, PurgeRequested, StoreEvent, encode_event
@@ -73,11 +73,6 @@
             self._remove(target)
             self.on_change()
 
-    def restore(self, events: Iterable[StoreEvent]) -> None:
-        """Add the events that an earlier process has left; each is sent again."""
-        for event in events:
-            self.add(event)
-
     def _has_room(self) -> bool:
         """Return whether an event can be added, after dropping the oldest sent one if there is no room."""
         if len(self._entries) < self._limit:
--- a/brackenlane/store/shared_store.py
+++ b/brackenlane/store/shared_store.py
@@ -11,7 +11,7 @@
 import logging
 import random
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 
 import trio
@@ -29,6 +29,7 @@
 from brackenlane.store.connection import Connection
 from brackenlane.store.errors import StoreCommandError, StoreDataError, StoreError, StoreTimeoutError
 from brackenlane.store.event_applier import EventApplier
+from brackenlane.store.event_codec import decode_own_event
 from brackenlane.store.file_registration import FileRegistration
 from brackenlane.store.idempotency_claims import RedisClaimStore
 from brackenlane.store.keys import StoreKeys
@@ -115,6 +116,22 @@
         if self.outbox.next_unsent():
             self.publisher.wake_up()
 
+    @property
+    def unshared(self) -> tuple[str, ...]:
+        """The encoded events that are not known to be in the store, oldest first."""
+        return self.outbox.event_texts
+
+    def restore_unshared(self, event_texts: Iterable[str]) -> None:
+        """Publish again the events that an earlier process of this router has left in its snapshot."""
+        for text in event_texts:
+            try:
+                event = decode_own_event(text, steady_time())
+            except StoreDataError as error:
+                log.warning("unshared event cannot be decoded, skipped: %s", error)
+                continue
+            if event:
+                self.outbox.add(event)
+
     async def run(self, file_caches: Sequence[CacheDefinition]) -> None:
         """Follow the store and publish to it until cancelled.
 
