Keep purges over a restart without a shared store, too

With a store, a purge given while the store was away was forgotten by the restarted router itself in the same way.

Nothing recorded the purges of the router's own console.

The time between two processes counts as 0, so that a stepped wall clock cannot make a purge look expired. Past the limit of the record the older half counts as one purge of all objects; later ones were not kept before. A router without a store that finds no record of purges at its start counts every object as purged then, as one that doesn't reach its store does: its caches drop older copies themselves within the propagation time.

--- a/brackenlane/appliance/program.py
+++ b/brackenlane/appliance/program.py
@@ -23,6 +23,7 @@
 from brackenlane.core.service_tasks import run_isolated, run_service
 from brackenlane.discovery.dns_source import DnsSource
 from brackenlane.discovery.merge import MembershipMerge
+from brackenlane.discovery.recent_purges import RecentPurges
 from brackenlane.discovery.registry import Registry
 from brackenlane.discovery.resolver import Resolver
 from brackenlane.discovery.snapshot import SnapshotContent, SnapshotWriter
@@ -34,6 +35,7 @@
 from brackenlane.net.http_front import HttpFront
 from brackenlane.net.poller import Poller
 from brackenlane.routing.events import AttemptResult
+from brackenlane.routing.purges import RETENTION_FACTOR
 from brackenlane.store.shared_store import SharedStore, StoreSettings
 
 # After these results the address of a cache is looked up again, since it may have changed.
@@ -121,7 +123,8 @@
     )
     monitor.start(engine.timers, limits.memory_check_interval)
     merge = MembershipMerge(config.discovery.policy, config.discovery.watches)
-    registry = Registry(merge, engine.post, pools.update_servers)
+    purges = RecentPurges(RETENTION_FACTOR * config.settings.purge_propagation_time, limits.max_kept_purges)
+    registry = Registry(merge, engine.post, pools.update_servers, purges)
     observer.registry = registry
     return ServingComponents(engine, poller, registry, observer, StartupPhases(steady_time()))
 
@@ -175,7 +178,6 @@
             config.redis,
             str(config.zone),
             config.name,
-            config.settings.purge_propagation_time,
             config.store_capacity,
         ),
         components.registry,
@@ -185,7 +187,6 @@
     )
     changes = bootstrap.operator_changes
     if changes:
-        store.applier.restore_purges({(obj, group): at for obj, group, at in changes.purges})
         store.restore_unshared(changes.unshared)
     nursery.start_soon(run_service, "shared store", store.run, list(config.discovery.caches))
     nursery.start_soon(run_service, "start without store", bootstrap.fall_back_without_store, limits)
--- a/brackenlane/appliance/startup.py
+++ b/brackenlane/appliance/startup.py
@@ -15,11 +15,11 @@
 from brackenlane.clock import steady_time
 from brackenlane.coldstart.phases import StartupEvent, StartupPhases
 from brackenlane.discovery import snapshot
+from brackenlane.discovery.recent_purges import EVERYTHING
 from brackenlane.discovery.records import DefinitionSource, PersistedMembership
 from brackenlane.discovery.registry import Registry
 from brackenlane.discovery.snapshot_codec import Snapshot
 from brackenlane.limits import Limits
-from brackenlane.store.event_codec import MAX_GROUP, NO_GROUP
 
 log = logging.getLogger(__name__)
 
@@ -55,6 +55,11 @@
             self._restore(self.loaded_snapshot)
         elif self.operator_changes:
             self._restore_orders(self.operator_changes, now)
+        if self.operator_changes:
+            self._registry.restore_purges(self.operator_changes.purges, self.operator_changes.saved_at, now)
+        elif self._config.redis is None:
+            # Without any record of purges, every object may have been purged just before the start.
+            self._registry.purge(*EVERYTHING, now)
         for cache in self._config.discovery.caches:
             self._registry.define(DefinitionSource.FILE, cache)
 
@@ -66,8 +71,7 @@
         # The purges that were ordered while this router was down are unknown, so every object is treated as
         # purged until the caches have dropped purged copies by themselves (purge_propagation_time).
         log.warning("the store has not answered yet: no copy from before now is served")
-        for group in range(NO_GROUP, MAX_GROUP + 1):
-            self._registry.purge("", group, steady_time())
+        self._registry.purge(*EVERYTHING, steady_time())
         if self.loaded_snapshot is None or self.is_snapshot_trusted:
             return
         await trio.sleep(max(0.0, self._config.coldstart.patience - limits.purge_recovery_timeout))
--- a/brackenlane/cli/show.py
+++ b/brackenlane/cli/show.py
@@ -18,6 +18,7 @@
 from brackenlane.console.text_table import render_table
 from brackenlane.discovery.merge import MembershipMerge
 from brackenlane.discovery.query import RecordType
+from brackenlane.discovery.recent_purges import RecentPurges
 from brackenlane.discovery.records import MergedCache, ip_address_of
 from brackenlane.discovery.registry import Registry
 from brackenlane.discovery.resolver import LookUpFailedError, Resolver
@@ -89,7 +90,8 @@
     """
     logging.getLogger("brackenlane").setLevel(logging.ERROR)
     merge = MembershipMerge(config.discovery.policy, config.discovery.watches)
-    registry = Registry(merge, lambda _: None, lambda *_: None)
+    purges = RecentPurges(config.settings.purge_propagation_time, limits.max_kept_purges)  # not shown
+    registry = Registry(merge, lambda _: None, lambda *_: None, purges)
     RegistryBootstrap(config, registry, StartupPhases(steady_time())).fill_registry()
     async with trio.open_nursery() as nursery:
         resolver = Resolver(
--- a/brackenlane/discovery/registry.py
+++ b/brackenlane/discovery/registry.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from brackenlane.clock import steady_time
 from brackenlane.config import Endpoint
 from brackenlane.discovery.merge import MembershipMerge
+from brackenlane.discovery.recent_purges import RecentPurges, purges_after_restart
 from brackenlane.discovery.records import CacheDefinition, Change, DefinitionSource, OperatorOrder
 from brackenlane.routing.events import Event, Membership, MembershipKind, Purged
 
@@ -25,10 +26,19 @@
 class Registry:
     """Publishes the changes of the merge synchronously, so that a drain never waits behind other work."""
 
-    def __init__(self, merge: MembershipMerge, core: Callable[[Event], None], pools: UpdatePools) -> None:
+    def __init__(
+        self,
+        merge: MembershipMerge,
+        core: Callable[[Event], None],
+        pools: UpdatePools,
+        purges: RecentPurges,
+    ) -> None:
         self.merge = merge
+        self.purges = purges  # of consoles and of the store
         self.endpoints: dict[str, Endpoint] = {}  # endpoints of the published caches, by id
-        self.on_change_callbacks: list[Callable[[], None]] = []  # callbacks after each update of the merge
+        self.on_change_callbacks: list[
+            Callable[[], None]
+        ] = []  # callbacks after each update of the merge and each purge
         self._subscribers = Subscribers(core, pools)
 
     def apply(self, changes: list[Change]) -> None:
@@ -44,6 +54,15 @@
         if changes:
             members = tuple(change.member for change in changes)
             self._subscribers.core(Membership(MembershipKind.CHANGES, members))
+        self._notify_changed()
+
+    def restore_purges(self, purges: Iterable[tuple[str, int, float]], saved_at: float, now: float) -> None:
+        """Apply the purges of a snapshot (object, group, Unix seconds) that had not expired at `saved_at`."""
+        for obj, group, purged_at in purges_after_restart(purges, saved_at, now):
+            if now - purged_at <= self.purges.lifetime:
+                self.purge(obj, group, purged_at)
+
+    def _notify_changed(self) -> None:
         for callback in self.on_change_callbacks:
             callback()
 
@@ -66,3 +85,5 @@
     def purge(self, obj: str, group: int, at: float) -> None:
         """Notify the core of a purge of an object or a group; `at` is the Unix time of the purge."""
         self._subscribers.core(Purged(obj, group, max(0.0, steady_time() - at)))
+        self.purges.record(obj, group, at)
+        self._notify_changed()
--- a/brackenlane/discovery/snapshot.py
+++ b/brackenlane/discovery/snapshot.py
@@ -33,10 +33,6 @@
     def position(self) -> StreamPosition:
         """The position in the event stream up to which all events have been applied."""
 
-    @property
-    def purges(self) -> dict[tuple[str, int], float]:
-        """The times of recent purges in Unix seconds, by object and group."""
-
     @property
     def unshared(self) -> tuple[str, ...]:
         """The encoded events that are not known to be in the store, oldest first."""
@@ -165,10 +161,10 @@
         merge = self._registry.merge
         is_complete = self._content is SnapshotContent.EVERYTHING
         memory = merge.snapshot_content() if is_complete else PersistedMembership(orders=dict(merge.orders))
-        snapshot = Snapshot(memory, 0.0, is_shutdown=self._is_shutting_down)
+        purges = tuple((obj, group, at) for (obj, group), at in self._registry.purges.by_target.items())
+        snapshot = Snapshot(memory, 0.0, is_shutdown=self._is_shutting_down, purges=purges)
         if self._store is None:
             return snapshot
-        purges = tuple((obj, group, at) for (obj, group), at in self._store.purges.items())
         # The position stands for the caches, too: without them, all has to be read again.
         position = self._store.position if is_complete else STREAM_START
-        return replace(snapshot, position=position, purges=purges, unshared=self._store.unshared)
+        return replace(snapshot, position=position, unshared=self._store.unshared)
--- a/brackenlane/limits.py
+++ b/brackenlane/limits.py
@@ -198,7 +198,8 @@
     # Changes not yet written to the store, or not yet read back; the oldest one written is dropped;
     # if there is none, a further change is refused.
     max_unshared_changes: int = 1_000
-    max_store_purges: int = 2_000  # purges kept over a restart; later ones are not kept
+    # Purges kept over a restart; past it the older half counts as one purge of all objects.
+    max_kept_purges: int = 2_000
     store_ticket_lifetime: int = 600  # time for which the store keeps the load ticket counter of a window
     # Time for which one router has the sole right to write the caches of the operator's file to the store.
     store_file_lock_lifetime: int = 10
--- a/brackenlane/store/event_applier.py
+++ b/brackenlane/store/event_applier.py
@@ -4,7 +4,6 @@
 
 import logging
 import time
-from collections.abc import Mapping
 
 from brackenlane.clock import steady_time
 from brackenlane.coldstart.stream_position import StreamPosition
@@ -22,7 +21,6 @@
     decode_order,
     decode_purge,
 )
-from brackenlane.store.recent_purges import RecentPurges
 
 log = logging.getLogger(__name__)
 
@@ -45,11 +43,10 @@
 class EventApplier:
     """Owns the orders read from the store, and its clock. Values that cannot be decoded are skipped."""
 
-    def __init__(self, registry: Registry, purges: RecentPurges) -> None:
+    def __init__(self, registry: Registry) -> None:
         self.orders_in_store: dict[str, OperatorOrder] = {}  # the orders read so far, by cache id
         self.clock = StoreClock()
         self._registry = registry
-        self._purges = purges
 
     def apply_stored_cache(self, text: str) -> None:
         """Apply a value of the hash of caches."""
@@ -100,12 +97,6 @@
         if event:
             self._apply_purge(event, entry.position)
 
-    def restore_purges(self, purges: Mapping[tuple[str, int], float]) -> None:
-        """Apply those purges of a snapshot (Unix seconds by object and group) that have not expired."""
-        for (obj, group), purged_at in purges.items():
-            if steady_time() - purged_at <= self._purges.lifetime:
-                self._purge(obj, group, purged_at)
-
     def _apply_cache(self, event: CacheDefined) -> None:
         self._registry.define(DefinitionSource.STORE, event.definition)
 
@@ -117,8 +108,4 @@
     def _apply_purge(self, event: PurgeRequested, position: StreamPosition) -> None:
         # The age is measured by the store's clock: if this router's clock were minutes ahead, a new purge
         # would look expired.
-        self._purge(event.obj, event.group, steady_time() - self.clock.age(position))
-
-    def _purge(self, obj: str, group: int, purged_at: float) -> None:
-        self._registry.purge(obj, group, purged_at)
-        self._purges.record(obj, group, purged_at)
+        self._registry.purge(event.obj, event.group, steady_time() - self.clock.age(position))
--- a/brackenlane/store/shared_store.py
+++ b/brackenlane/store/shared_store.py
@@ -37,14 +37,10 @@
 from brackenlane.store.outbox import Outbox
 from brackenlane.store.publisher import Publisher, StoreRepair
 from brackenlane.store.reader import StoreReader, StoreState
-from brackenlane.store.recent_purges import RecentPurges
 from brackenlane.store.replica import Replica
 
 log = logging.getLogger(__name__)
 
-# The lifetime of a recorded purge, as a multiple of the time that a purge takes to propagate.
-PURGE_LIFETIME_FACTOR = 2
-
 
 @dataclass(frozen=True, slots=True)
 class StoreSettings:
@@ -53,7 +49,6 @@
     endpoint: Endpoint
     site: str
     router_name: str
-    purge_propagation_time: float  # seconds
     capacity: Capacity
 
 
@@ -86,10 +81,7 @@
         self._tickets = LoadTickets(
             self._read_connection, self._keys, self.pacing, lifetime=limits.store_ticket_lifetime
         )
-        self._purges = RecentPurges(
-            PURGE_LIFETIME_FACTOR * settings.purge_propagation_time, limit=limits.max_store_purges
-        )
-        self.applier = EventApplier(registry, self._purges)
+        self.applier = EventApplier(registry)
         self.claims = RedisClaimStore(
             command_connection, self._keys, settings.router_name, limits.claim_lifetime
         )
@@ -103,11 +95,6 @@
         """The position in the event stream up to which everything has been applied."""
         return self.replica.position
 
-    @property
-    def purges(self) -> dict[tuple[str, int], float]:
-        """The recent purges: Unix seconds by object and group."""
-        return self._purges.by_target
-
     def _connection(self, on_answer: Callable[[], None] = lambda: None) -> Connection:
         return Connection(self._settings.endpoint, self._limits.store_command_timeout, on_answer)
 
@@ -191,7 +178,7 @@
         if not await self.replica.catch_up(state):
             self._phases.step(StartupEvent.LOAD_STARTED, steady_time())
             await self._tickets.wait_for_turn()
-            await self.replica.load(self._purges.lifetime)
+            await self.replica.load(self._registry.purges.lifetime)
         self.fault = ""
         self._phases.step(StartupEvent.CAUGHT_UP, steady_time())
 
--- a/tests/test_console_changes.py
+++ b/tests/test_console_changes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import signal
 from pathlib import Path
 
@@ -9,7 +10,8 @@
 import trio
 
 from brackenlane.discovery import snapshot
-from tests.stand_ins import Redis, RouterProcess, run_appliance, with_trio
+from brackenlane.discovery.recent_purges import purges_after_restart
+from tests.stand_ins import CacheStandIn, Redis, RouterProcess, run_appliance, with_trio
 from tests.test_appliance import record_texts, run_console_command, send_query, start_caches
 
 WITH_SNAPSHOT = '[discovery]\nlast_list = "last.json"\n'
@@ -35,6 +37,43 @@
     await running.process.wait()
 
 
+async def request_max_age(running: RouterProcess, caches: list[CacheStandIn], group: int) -> str | None:
+    """Request an object of a group that was not requested before; return the maximum age that caches got."""
+    obj = os.urandom(8).hex()
+    assert (await running.request_object(obj=obj, X_Shard=str(group)))[0] == 200
+    [requested, *_] = [
+        one for cache in caches for one in cache.received if one.fields.get("path", "").count(obj)
+    ]
+    return requested.fields.get("within")
+
+
+@SETTINGS
+@ENDS
+@with_trio
+async def test_purge_is_kept_without_a_store(tmp_path: Path, settings: str, end: signal.Signals) -> None:
+    """Guards against copies older than a purge from a router that ended 0 s after the console's answer."""
+    async with trio.open_nursery() as nursery:
+        caches = await start_caches(nursery, "box-1", "box-2")
+        async with run_appliance(tmp_path, caches, extra_settings=settings) as (running, _, path):
+            assert await run_console_command(path, "purge", "group", str(GROUP)) == f"purged group {GROUP}\n"
+            await end_process(running, end)
+        async with run_appliance(tmp_path, caches, extra_settings=settings) as (running, _, _path):
+            assert await request_max_age(running, caches, GROUP)
+        nursery.cancel_scope.cancel()
+
+
+@with_trio
+async def test_every_object_counts_as_purged_without_a_record_of_purges(tmp_path: Path) -> None:
+    """Guards against copies older than a purge from a router whose record of purges is missing or damaged."""
+    async with trio.open_nursery() as nursery:
+        caches = await start_caches(nursery, "box-1", "box-2")
+        (tmp_path / "last.json").write_bytes(b"{}")
+        for settings in (WITH_SNAPSHOT, ""):
+            async with run_appliance(tmp_path, caches, extra_settings=settings) as (running, *_):
+                assert await request_max_age(running, caches, GROUP)
+        nursery.cancel_scope.cancel()
+
+
 @SETTINGS
 @with_trio
 async def test_second_drain_in_a_second_is_kept_over_a_kill(tmp_path: Path, settings: str) -> None:
@@ -81,6 +120,7 @@
             _path,
         ):
             assert not record_texts(await send_query(port, f"box-1.boxes.{ZONE}"))
+            assert await request_max_age(running, caches, GROUP)
             await redis.open(nursery)
             while "box-1" not in redis.keys.get(f"brackenlane:{ZONE}:orders", {}):
                 await trio.sleep(0.02)
@@ -108,3 +148,12 @@
         assert saved
         assert {cache for cache, order in saved.memory.orders.items() if order.drained} == {"box-1", "box-2"}
         nursery.cancel_scope.cancel()
+
+
+def test_purge_is_kept_when_the_clock_was_set_forward_or_back_between_two_processes() -> None:
+    """Guards against a purge that counts as expired or as older, since the wall clock was stepped."""
+    for step in (-3_600.0, 0.0, 3_600.0):
+        now = 5_000.0 + step
+        assert purges_after_restart([("clip", -1, 4_997.0)], saved_at=4_999.0, now=now) == [
+            ("clip", -1, now - 2.0)
+        ]
