Compare an order with the stored one before it replaces it in the store

Cause: an order was written to the hash of orders whatever stood there. Routers that follow the stream compare the times of orders; one that starts reads the hash. The repair did not notice: it compares with the latest order read, and took that for what the hash has.

Change: the publisher watches the hash, reads the stored order and writes in a transaction, which the store refuses if another router has written meanwhile; then it compares again. An order that is not later leaves the outbox, and the stored one is applied here. One that is stored without its entry in the stream gets it. An error inside EXEC no longer counts as written. A router of an earlier version still overwrites: a follower that reads an older order after a later one takes it for the hash's value and repairs the hash. The publisher has its own connection, so that nobody ends its transaction in the middle. The stand-in for Redis learns WATCH, UNWATCH and HGET.

--- a/brackenlane/lab/stand_ins/redis.py
+++ b/brackenlane/lab/stand_ins/redis.py
@@ -10,9 +10,9 @@
 import math
 import random
 import time
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 import hiredis
@@ -37,6 +37,19 @@
     patience: float = 0.5
 
 
+@dataclass
+class Transaction:
+    """The transaction state of one connection."""
+
+    queued: list[list[str]] | None = None  # commands since MULTI; None: no transaction is open
+    watched: dict[str, int] = field(default_factory=dict)  # number of writes to each watched key at its WATCH
+
+    def end(self) -> None:
+        """Forget the queued commands and the watched keys."""
+        self.queued = None
+        self.watched.clear()
+
+
 class Redis(CacheListener):
     """The store. `seen` is called for every connection, command, refusal and stream entry, to record them."""
 
@@ -51,6 +64,7 @@
         self._rng = random.Random(1)
         self._busy_until = 0.0  # monotonic time at which all accepted work is done
         self._undo: deque[tuple[float, Callable[[], None]]] = deque(maxlen=100_000)
+        self._write_counts: Counter[str] = Counter()  # number of writes by key, for WATCH
         self.commands = self.connections = self.sent = self.refused = 0
 
     def undo_writes(self, seconds: float = math.inf) -> None:
@@ -89,7 +103,7 @@
                 await stream.send_all(b"-ERR max number of clients reached\r\n")
             return await stream.aclose()
         reader = hiredis.Reader(encoding="utf-8")
-        queue: list[list[str]] | None = None
+        transaction = Transaction()
         with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
             while chunk := await stream.receive_some(65536):
                 reader.feed(chunk)
@@ -98,7 +112,7 @@
                 refused = False
                 # Commands received together are answered together.
                 while (command := reader.gets()) is not False:
-                    reply, queue = await self._execute(command, queue)
+                    reply = await self._execute(command, transaction)
                     cost = 1 / self.capacity.commands + len(reply) / self.capacity.bytes
                     wait = self._queue_work(cost)
                     claim = len(command) > 1 and ":claim:" in command[1]
@@ -121,23 +135,34 @@
                 self.sent += len(replies)
                 await stream.send_all(replies)
 
-    async def _execute(
-        self, command: list[str], queue: list[list[str]] | None
-    ) -> tuple[bytes, list[list[str]] | None]:
-        """Run one command.
-
-        Return its reply and the commands queued in the open transaction (None: no transaction).
-        """
+    async def _execute(self, command: list[str], transaction: Transaction) -> bytes:
+        """Run one command, or queue it in the open transaction; return its reply."""
         self.commands += 1
-        match command[0]:
-            case "MULTI":
-                return b"+OK\r\n", []
-            case "EXEC":
-                assert queue is not None
-                return b"*%d\r\n" % len(queue) + b"".join([await self._run_command(c) for c in queue]), None
-        if queue is not None:
-            return b"+QUEUED\r\n", [*queue, command]
-        return await self._run_command(command), None
+        match command:
+            case ["WATCH", *keys]:
+                transaction.watched |= {key: self._write_counts[key] for key in keys}
+                return b"+OK\r\n"
+            case ["UNWATCH"]:
+                transaction.watched.clear()
+                return b"+OK\r\n"
+            case ["MULTI"]:
+                transaction.queued = []
+                return b"+OK\r\n"
+            case ["EXEC"]:
+                return await self._execute_transaction(transaction)
+        if transaction.queued is not None:
+            transaction.queued.append(command)
+            return b"+QUEUED\r\n"
+        return await self._run_command(command)
+
+    async def _execute_transaction(self, transaction: Transaction) -> bytes:
+        """Run the queued commands; the reply is null if a watched key was written since its WATCH."""
+        commands = transaction.queued or []
+        is_unchanged = all(self._write_counts[key] == count for key, count in transaction.watched.items())
+        transaction.end()
+        if not is_unchanged:
+            return _encode_reply(None)
+        return b"*%d\r\n" % len(commands) + b"".join([await self._run_command(c) for c in commands])
 
     def _write(self, key: str, name: str | None, value: Any) -> None:
         """Set a string (no name) or a hash field, or delete it if value is None; `undo_writes` undoes it."""
@@ -146,12 +171,14 @@
         previous = table.get(at)
 
         def undo() -> None:
+            self._write_counts[key] += 1
             if previous is None:
                 table.pop(at, None)
             else:
                 table[at] = previous
 
         self._undo.append((time.monotonic(), undo))
+        self._write_counts[key] += 1
         if value is None:
             table.pop(at, None)
         else:
@@ -201,6 +228,8 @@
                 if new or word == "HSET":
                     self._write(key, name, value)
                 return _encode_reply(int(new))
+            case ["HGET", key, name]:
+                return _encode_reply(self.keys.get(key, {}).get(name))
             case ["HMGET", key, *names]:
                 return _encode_reply([self.keys.get(key, {}).get(name) for name in names])
             case ["HGETALL", key]:
--- a/brackenlane/store/event_applier.py
+++ b/brackenlane/store/event_applier.py
@@ -4,6 +4,7 @@
 
 import logging
 import time
+from collections.abc import Callable
 
 from brackenlane.clock import steady_time
 from brackenlane.coldstart.stream_position import StreamPosition
@@ -43,8 +44,14 @@
 class EventApplier:
     """Owns the orders read from the store, and its clock. Values that cannot be decoded are skipped."""
 
-    def __init__(self, registry: Registry) -> None:
-        self.orders_in_store: dict[str, OperatorOrder] = {}  # the orders read so far, by cache id
+    def __init__(self, registry: Registry, on_order_overwritten: Callable[[], None] = lambda: None) -> None:
+        """on_order_overwritten: called when an older order was written to the store over a later one.
+
+        This version writes none; an earlier one does.
+        """
+        # The orders in the store by cache id, as read so far: the last one written, perhaps not the latest.
+        self.orders_in_store: dict[str, OperatorOrder] = {}
+        self._on_order_overwritten = on_order_overwritten
         self.clock = StoreClock()
         self._registry = registry
 
@@ -83,7 +90,7 @@
             case CacheDefined():
                 self._apply_cache(event)
             case OrderGiven():
-                self._apply_order(event)
+                self._apply_written_order(event)
             case PurgeRequested():
                 self._apply_purge(event, position)
 
@@ -105,6 +112,14 @@
             self.orders_in_store[event.server] = event.order
         self._registry.order(event.server, event.order)
 
+    def _apply_written_order(self, event: OrderGiven) -> None:
+        """Apply an order of the stream, which was written to the hash of orders with it."""
+        previous = self._registry.merge.orders.get(event.server)
+        self.orders_in_store[event.server] = event.order
+        self._registry.order(event.server, event.order)
+        if previous and previous != event.order and previous.supersedes(event.order):
+            self._on_order_overwritten()
+
     def _apply_purge(self, event: PurgeRequested, position: StreamPosition) -> None:
         # The age is measured by the store's clock: if this router's clock were minutes ahead, a new purge
         # would look expired.
--- a/brackenlane/store/event_commands.py
+++ b/brackenlane/store/event_commands.py
@@ -15,27 +15,29 @@
 from brackenlane.store.keys import StoreKeys
 
 
-def write_commands(event: StoreEvent, keys: StoreKeys, max_stream_length: int) -> list[Command]:
-    """Return the commands that write an event; if there are several, they must run in one transaction.
+def write_commands(
+    event: CacheDefined | OrderGiven, keys: StoreKeys, max_stream_length: int
+) -> list[Command]:
+    """Return the commands that write an event, to be run in one transaction.
 
     max_stream_length: approximate maximum number of entries; older ones are trimmed.
     """
-    append: Command = [
-        "XADD",
-        keys.events,
-        "MAXLEN",
-        "~",
-        max_stream_length,
-        "*",
-        EVENT_FIELD,
-        encode_event(event),
-    ]
+    append = append_command(event, keys, max_stream_length)
     match event:
         case CacheDefined(definition):
             return [["HSET", keys.caches, definition.id, encode_cache(definition)], append]
         case OrderGiven(server, order):
             return [["HSET", keys.orders, server, encode_operator_order(server, order)], append]
-    return [append]
+
+
+def append_command(event: StoreEvent, keys: StoreKeys, max_stream_length: int) -> Command:
+    """Return the command that appends an event to the stream; see `write_commands`."""
+    return ["XADD", keys.events, "MAXLEN", "~", max_stream_length, "*", EVENT_FIELD, encode_event(event)]
+
+
+def read_order_commands(server: str, keys: StoreKeys) -> list[Command]:
+    """Return the commands that read the stored order of a cache and watch it for the next transaction."""
+    return [["WATCH", keys.orders], ["HGET", keys.orders, server]]
 
 
 def transaction(commands: list[Command]) -> list[Command]:
--- a/brackenlane/store/publisher.py
+++ b/brackenlane/store/publisher.py
@@ -6,6 +6,7 @@
 import random
 from enum import Enum, auto
 
+import hiredis
 import trio
 
 from brackenlane.coldstart.pacing import jittered_backoff
@@ -13,16 +14,29 @@
 from brackenlane.discovery.records import OperatorOrder
 from brackenlane.discovery.registry import Registry
 from brackenlane.limits import Limits
-from brackenlane.store.connection import Connection
+from brackenlane.store.connection import Command, Connection
 from brackenlane.store.errors import (
+    StoreCommandError,
     StoreDataError,
     StoreError,
     StoreTimeoutError,
     StoreUnavailableError,
 )
 from brackenlane.store.event_applier import EventApplier
-from brackenlane.store.event_codec import OrderGiven, StoreEvent, decode_order
-from brackenlane.store.event_commands import transaction, write_commands
+from brackenlane.store.event_codec import (
+    CacheDefined,
+    OrderGiven,
+    PurgeRequested,
+    StoreEvent,
+    decode_order,
+    encode_event,
+)
+from brackenlane.store.event_commands import (
+    append_command,
+    read_order_commands,
+    transaction,
+    write_commands,
+)
 from brackenlane.store.keys import StoreKeys
 from brackenlane.store.outbox import Outbox
 
@@ -31,6 +45,7 @@
 MIN_RETRY_DELAY = 0.1  # seconds after a failure, whatever wakes the publisher
 FIRST_RETRY_DELAY = 0.3  # seconds; bound of the jitter after the first failure
 MAX_RETRY_DELAY = 5.0  # seconds; largest bound of the jitter
+MAX_WRITE_CONFLICTS = 10  # attempts to write an order; then the store counts as unavailable
 
 
 class PublishResult(Enum):
@@ -45,12 +60,19 @@
     """Writes the events of the outbox to the store; `run` retries until each is written."""
 
     def __init__(
-        self, connection: Connection, keys: StoreKeys, limits: Limits, outbox: Outbox, rng: random.Random
+        self,
+        connection: Connection,
+        keys: StoreKeys,
+        limits: Limits,
+        outbox: Outbox,
+        applier: EventApplier,
+        rng: random.Random,
     ) -> None:
-        """connection: used by no other component, whose failure would end a write in the middle."""
+        """connection: used by no other component, whose failure would end a transaction in the middle."""
         self.outbox = outbox
         self._connection = connection
         self._keys = keys
+        self._applier = applier
         self._max_stream_length = limits.max_store_events
         self._rng = rng
         self._lock = trio.Lock()
@@ -112,10 +134,55 @@
             await self._write(event)
 
     async def _write(self, event: StoreEvent) -> None:
+        match event:
+            case OrderGiven():
+                await self._write_order(event)
+            case CacheDefined():
+                await self._run_transaction(write_commands(event, self._keys, self._max_stream_length))
+            case PurgeRequested():
+                await self._append(event)
+
+    async def _write_order(self, event: OrderGiven) -> None:
+        """Write an order unless the stored one takes precedence, whenever either was given or is written."""
         commands = write_commands(event, self._keys, self._max_stream_length)
-        if len(commands) > 1:
-            commands = transaction(commands)
-        await self._connection.call(*commands)
+        for _ in range(MAX_WRITE_CONFLICTS):
+            _, text = await self._connection.call(*read_order_commands(event.server, self._keys))
+            if not isinstance(text, str | None):
+                raise StoreDataError(f"reply to HGET: {type(text).__name__}")
+            stored = stored_order(text)
+            if not event.order.supersedes(stored):
+                await self._leave_stored_order(event, stored, text)
+                return
+            if await self._run_transaction(commands):
+                return
+        raise StoreUnavailableError(f"other orders were written {MAX_WRITE_CONFLICTS} times meanwhile")
+
+    async def _leave_stored_order(
+        self, event: OrderGiven, stored: OperatorOrder | None, text: str | None
+    ) -> None:
+        """Handle an order that the stored one equals or takes precedence over."""
+        await self._connection.call(["UNWATCH"])
+        if stored == event.order:
+            # An earlier attempt may have failed between the hash and the stream.
+            await self._append(event)
+            return
+        self.outbox.acknowledge(encode_event(event))
+        self._applier.apply_stored_order(str(text))
+
+    async def _append(self, event: StoreEvent) -> None:
+        await self._connection.call(append_command(event, self._keys, self._max_stream_length))
+
+    async def _run_transaction(self, commands: list[Command]) -> bool:
+        """Run commands in a transaction; return False if a watched key was written meanwhile."""
+        *_, results = await self._connection.call(*transaction(commands))
+        if results is None:
+            return False
+        if not isinstance(results, list):
+            raise StoreDataError(f"reply to EXEC: {type(results).__name__}")
+        for result in results:
+            if isinstance(result, hiredis.ReplyError):
+                raise StoreCommandError(str(result))
+        return True
 
 
 class StoreRepair:
@@ -145,7 +212,7 @@
         # Other routers may have written these orders since this router read the store.
         [texts] = await self._connection.call(["HMGET", self._keys.orders, *missing])
         for server, text in zip(missing, texts, strict=True):
-            stored = _stored_order(text)
+            stored = stored_order(text)
             if stored:
                 self._applier.orders_in_store[server] = stored
             if server in orders and orders[server].supersedes(stored):
@@ -156,7 +223,8 @@
             raise StoreUnavailableError("orders that the store has lost can't be shared again yet")
 
 
-def _stored_order(text: str | None) -> OperatorOrder | None:
+def stored_order(text: str | None) -> OperatorOrder | None:
+    """Return the order in a value of the hash of orders; None if there is none or it cannot be decoded."""
     if not text:
         return None
     try:
--- a/brackenlane/store/shared_store.py
+++ b/brackenlane/store/shared_store.py
@@ -81,12 +81,15 @@
         self._tickets = LoadTickets(
             self._read_connection, self._keys, self.pacing, lifetime=limits.store_ticket_lifetime
         )
-        self.applier = EventApplier(registry)
+        self._repair_needed = trio.Event()
+        self.applier = EventApplier(registry, self._on_order_overwritten)
         self.claims = RedisClaimStore(
             command_connection, self._keys, settings.router_name, limits.claim_lifetime
         )
         self.outbox = Outbox(limits.max_unshared_changes)
-        self.publisher = Publisher(publish_connection, self._keys, limits, self.outbox, self._random)
+        self.publisher = Publisher(
+            publish_connection, self._keys, limits, self.outbox, self.applier, self._random
+        )
         self._repair = StoreRepair(command_connection, self._keys, self.publisher, registry, self.applier)
         self.replica = Replica(self._reader, registry, self.applier, self.outbox, position)
 
@@ -151,7 +154,7 @@
         try:
             async with trio.open_nursery() as nursery:
                 await self._catch_up(registration)
-                nursery.start_soon(self._repair_after_delay)
+                nursery.start_soon(self._keep_repaired)
                 while True:
                     if not registration.is_done:
                         await registration.register(self._read_connection)
@@ -190,8 +193,15 @@
         except StoreDataError as error:
             log.warning("capacity hint %s ignored: %s", self._keys.capacity_hint, error)
 
-    async def _repair_after_delay(self) -> None:
-        # All routers notice at the same time that the store was restored to an older state. The first one in
-        # the window repairs it; the others read its events before their own delay is over.
-        await trio.sleep(self._random.uniform(0.0, self.pacing.window))
-        await self._repair.run()
+    def _on_order_overwritten(self) -> None:
+        self._repair_needed.set()
+
+    async def _keep_repaired(self) -> None:
+        """Repair the store once, and again whenever an older order was written over a later one."""
+        while True:
+            self._repair_needed = trio.Event()
+            # All routers notice at the same time that the store lacks something. The first one in the window
+            # repairs it; the others read its events before their own delay is over.
+            await trio.sleep(self._random.uniform(0.0, self.pacing.window))
+            await self._repair.run()
+            await self._repair_needed.wait()
--- a/tests/test_outbox.py
+++ b/tests/test_outbox.py
@@ -16,14 +16,21 @@
 from brackenlane.coldstart.pacing import Capacity
 from brackenlane.coldstart.phases import StartupPhases
 from brackenlane.discovery.merge import MembershipMerge
+from brackenlane.discovery.order_codec import encode_order
 from brackenlane.discovery.recent_purges import RecentPurges
 from brackenlane.discovery.records import OperatorOrder, Policy
 from brackenlane.discovery.registry import Registry
-from brackenlane.lab.stand_ins.redis import Redis
+from brackenlane.lab.stand_ins.redis import Redis, Transaction
 from brackenlane.limits import Limits
-from brackenlane.store.event_codec import OrderGiven, PurgeRequested, StoreEvent, encode_event
+from brackenlane.store.event_codec import (
+    OrderGiven,
+    PurgeRequested,
+    StoreEvent,
+    encode_event,
+    encode_operator_order,
+)
 from brackenlane.store.outbox import Outbox
-from brackenlane.store.publisher import PublishResult
+from brackenlane.store.publisher import PublishResult, stored_order
 from brackenlane.store.shared_store import SharedStore, StoreSettings
 from tests.stand_ins import with_trio
 
@@ -141,3 +148,80 @@
     outbox.mark_sent(oldest)
     assert outbox.add(drain("box-3", 3.0))
     assert outbox.next_unsent() == drain("box-2", 2.0)
+
+
+def restore_order(cache: str, at: float) -> OrderGiven:
+    """Return an order to restore a cache, given at a Unix time."""
+    return OrderGiven(cache, OperatorOrder(False, at, "the console of a"))
+
+
+def order_in_hash(redis: Redis, cache: str) -> OperatorOrder | None:
+    """Return the order of a cache that a router reads at its start."""
+    return stored_order(redis.keys.get(f"brackenlane:{SITE}:orders", {}).get(cache))
+
+
+@with_trio
+async def test_older_order_that_was_kept_back_does_not_replace_a_later_one() -> None:
+    """Guards against a drain that a router loses at its restart: an order from a cut was written over it."""
+    redis = Redis()
+    async with following_store(redis) as shared:
+        now = steady_time()
+        later = drain("box-1", now)
+        redis.order(SITE, encode_order("box-1", later.order))
+        assert await shared.publisher.publish(restore_order("box-1", now - 1.0)) is PublishResult.WRITTEN
+        assert order_in_hash(redis, "box-1") == later.order
+        assert not shared.outbox.event_texts
+        # An order that is later than the stored one replaces it.
+        newest = restore_order("box-1", now + 1.0)
+        assert await shared.publisher.publish(newest) is PublishResult.WRITTEN
+        assert order_in_hash(redis, "box-1") == newest.order
+
+
+class InterruptedRedis(Redis):
+    """A stand-in for Redis at which another router writes an order between the read and the transaction."""
+
+    def __init__(self, order: OrderGiven) -> None:
+        super().__init__()
+        self._order: OrderGiven | None = order
+
+    async def _execute(self, command: list[str], transaction: Transaction) -> bytes:
+        if command == ["MULTI"] and self._order:
+            self.order(SITE, encode_order(self._order.server, self._order.order))
+            self._order = None
+        return await super()._execute(command, transaction)
+
+
+@pytest.mark.parametrize("lead", [-1.0, 1.0], ids=["older", "later"])
+@with_trio
+async def test_of_two_orders_written_at_once_the_later_one_stays(lead: float) -> None:
+    """Guards against an order that is compared with one which another router replaces before the write."""
+    other = restore_order("box-1", steady_time() + lead)
+    redis = InterruptedRedis(other)
+    async with following_store(redis) as shared:
+        own = drain("box-1")
+        assert await shared.publisher.publish(own) is PublishResult.WRITTEN
+        assert order_in_hash(redis, "box-1") == (other if lead > 0 else own).order
+
+
+@with_trio
+async def test_order_that_an_earlier_version_wrote_over_a_later_one_is_repaired() -> None:
+    """Guards against a router that starts beside one of an earlier version, which writes without a look."""
+    redis = Redis()
+    async with following_store(redis) as shared:
+        later = drain("box-1")
+        assert await shared.publisher.publish(later) is PublishResult.WRITTEN
+        redis.order(SITE, encode_order("box-1", restore_order("box-1", later.order.at - 1.0).order))
+        with trio.fail_after(RETRY_LIMIT):
+            while order_in_hash(redis, "box-1") != later.order:
+                await trio.sleep(0.01)
+
+
+@with_trio
+async def test_order_without_its_stream_entry_is_completed() -> None:
+    """Guards against an order that others never get: its write failed between the hash and the stream."""
+    redis = Redis()
+    async with following_store(redis) as shared:
+        own = drain("box-1")
+        redis.keys[f"brackenlane:{SITE}:orders"] = {"box-1": encode_operator_order("box-1", own.order)}
+        assert await shared.publisher.publish(own) is PublishResult.WRITTEN
+        await wait_until_in_store(redis, own)
--- a/tests/test_stored_forms.py
+++ b/tests/test_stored_forms.py
@@ -26,7 +26,7 @@
 from brackenlane.discovery.recent_purges import RecentPurges
 from brackenlane.discovery.records import CacheDefinition, OperatorOrder, PersistedMembership, Policy
 from brackenlane.discovery.registry import Registry
-from brackenlane.lab.stand_ins.redis import Redis
+from brackenlane.lab.stand_ins.redis import Redis, Transaction
 from brackenlane.limits import Limits
 from brackenlane.ops.handover_index import HandoverIndex
 from brackenlane.ops.handover_log import HandoverLog
@@ -93,11 +93,9 @@
         self.received_commands: list[list[str]] = []
         self.keys.update(keys or {})
 
-    async def _execute(
-        self, command: list[str], queue: list[list[str]] | None
-    ) -> tuple[bytes, list[list[str]] | None]:
+    async def _execute(self, command: list[str], transaction: Transaction) -> bytes:
         self.received_commands.append([re.sub(r":loads:\d+$", ":loads:BUCKET", text) for text in command])
-        return await super()._execute(command, queue)
+        return await super()._execute(command, transaction)
 
 
 def open_shared_store(redis: Redis, position: StreamPosition = STREAM_START) -> tuple[SharedStore, Registry]:
