Answer what every front has taken before the process ends, not HTTP alone

Datagrams in flight were dropped, a command at the console could be carried out without an answer, and a call at the admin API that was not read yet, or a response that was not sent, was cut off.

Cause: the graceful shutdown waited for the connections of the HTTP front alone. Then the nursery in which the other fronts answer was cancelled.

Change: net/front.py says what the shutdown asks of a front: take in what waits, take no more, wait until all is answered, and answer the rest at once when time is up. The HTTP front, DNS over TCP and UDP, console and admin API implement it, and each process names its fronts to the shutdown. Backlogs and bytes that have arrived are read before anything closes; DNS queries get SERVFAIL when time is up. DNS over UDP and the admin API are drained last. The console takes 64 connections at most. dns/server.py is divided in two fronts and the answering of a query.

--- a/brackenlane/appliance/program.py
+++ b/brackenlane/appliance/program.py
@@ -4,6 +4,7 @@
 
 import random
 from dataclasses import dataclass
+from typing import NamedTuple
 
 import trio
 
@@ -15,7 +16,7 @@
 from brackenlane.config import DEFAULT_MEMORY_MB, ConfigError, Endpoint
 from brackenlane.console.admin_console import AdminConsole, ConsoleSources, Persistence
 from brackenlane.console.cache_health import CacheHealth
-from brackenlane.console.server import open_listener, serve_client
+from brackenlane.console.server import create_front, open_listener
 from brackenlane.core.engine import RequestEngine
 from brackenlane.core.engine_config import EngineConfig
 from brackenlane.core.memory_budget import MemoryBudget
@@ -27,13 +28,16 @@
 from brackenlane.discovery.registry import Registry
 from brackenlane.discovery.resolver import Resolver
 from brackenlane.discovery.snapshot import SnapshotContent, SnapshotWriter
+from brackenlane.dns.query_answering import QueryAnswering
 from brackenlane.dns.responder import Responder
-from brackenlane.dns.server import Server
-from brackenlane.lifecycle import listen, serve_until_signal
+from brackenlane.dns.tcp_server import create_tcp_front
+from brackenlane.dns.udp_front import UdpFront
+from brackenlane.lifecycle import OtherFronts, listen, serve_until_signal
 from brackenlane.limits import BYTES_PER_MB, Limits
 from brackenlane.net.connection_pools import ConnectionPools
 from brackenlane.net.http_front import HttpFront
 from brackenlane.net.poller import Poller
+from brackenlane.net.stream_front import StreamFront
 from brackenlane.routing.events import AttemptResult
 from brackenlane.routing.purges import RETENTION_FACTOR
 from brackenlane.store.shared_store import SharedStore, StoreSettings
@@ -86,13 +90,21 @@
         start_discovery(config, limits, components, nursery)
         store = start_store(config, limits, components, bootstrap, nursery)
         snapshot_writer = start_snapshot_writer(config, limits, components, store, nursery)
-        await start_dns_front(config, limits, components, nursery)
+        dns_fronts = await start_dns_fronts(config, limits, components, nursery)
         front = HttpFront(
             components.engine, limits, components.poller, store.claims if store else None, nursery
         )
         front.is_ready = lambda: components.phases.is_store_read or config.coldstart.ready == "listed"
-        start_console(config, limits, components, front, Persistence(store, snapshot_writer), nursery)
-        await serve_until_signal(front, config.http, config.name)
+        sources = ConsoleSources(
+            components.registry,
+            Persistence(store, snapshot_writer),
+            components.observer.health,
+            front.figures,
+            components.phases,
+        )
+        console = start_console(config, limits, sources, nursery)
+        others = OtherFronts((console, dns_fronts.tcp), until_the_end=(dns_fronts.udp,))
+        await serve_until_signal(front, config.http, config.name, others)
         config.console.unlink(missing_ok=True)
         await snapshot_writer.write_last()
         nursery.cancel_scope.cancel()
@@ -215,20 +227,26 @@
     return writer
 
 
-async def start_dns_front(
+class DnsFronts(NamedTuple):
+    """The fronts for DNS queries."""
+
+    tcp: StreamFront
+    udp: UdpFront
+
+
+async def start_dns_fronts(
     config: ApplianceConfig, limits: Limits, components: ServingComponents, nursery: trio.Nursery
-) -> None:
+) -> DnsFronts:
     """Start answering DNS queries on UDP and TCP. Raises ConfigError if the address cannot be bound."""
     responder = Responder(config.zone, config.http, components.engine, components.registry, limits)
-    server = Server(responder, limits)
+    answering = QueryAnswering(responder)
     listeners = await listen(config.dns)
-    sock = await _bind_udp(config.dns)
-    nursery.start_soon(run_service, "DNS over UDP", server.serve_udp, sock)
-
-    async def serve_tcp(stream: trio.SocketStream) -> None:
-        await run_isolated("DNS connection", server.serve_tcp, stream)
-
-    nursery.start_soon(trio.serve_listeners, serve_tcp, listeners)
+    fronts = DnsFronts(
+        create_tcp_front(answering, limits), UdpFront(await _bind_udp(config.dns), answering, limits)
+    )
+    nursery.start_soon(run_service, "DNS over UDP", fronts.udp.run)
+    nursery.start_soon(run_service, "DNS over TCP", fronts.tcp.run, listeners)
+    return fronts
 
 
 async def _bind_udp(endpoint: Endpoint) -> trio.socket.SocketType:
@@ -244,20 +262,10 @@
 
 
 def start_console(
-    config: ApplianceConfig,
-    limits: Limits,
-    components: ServingComponents,
-    front: HttpFront,
-    persistence: Persistence,
-    nursery: trio.Nursery,
-) -> None:
+    config: ApplianceConfig, limits: Limits, sources: ConsoleSources, nursery: trio.Nursery
+) -> StreamFront:
     """Start serving console clients on the Unix socket that the file names."""
-    sources = ConsoleSources(
-        components.registry, persistence, components.observer.health, front.figures, components.phases
-    )
     console = AdminConsole(config.name, sources)
-
-    async def serve_one(stream: trio.SocketStream) -> None:
-        await run_isolated("console connection", serve_client, stream, console.execute, limits)
-
-    nursery.start_soon(trio.serve_listeners, serve_one, [open_listener(config.console)])
+    front = create_front(console.execute, limits)
+    nursery.start_soon(run_service, "console", front.run, [open_listener(config.console)])
+    return front
--- a/brackenlane/cli/main.py
+++ b/brackenlane/cli/main.py
@@ -59,7 +59,9 @@
     trio.run(
         program.serve,
         appliance_config,
-        limits.with_descriptors(available_descriptors).with_settings(appliance_config.settings),
+        limits.with_descriptors(available_descriptors)
+        .with_settings(appliance_config.settings)
+        .with_kill_deadline(appliance_config.settings),
     )
 
 
--- a/brackenlane/console/server.py
+++ b/brackenlane/console/server.py
@@ -10,6 +10,7 @@
 import trio
 
 from brackenlane.limits import Limits
+from brackenlane.net.stream_front import StreamConnection, StreamFront
 
 BACKLOG = 8
 RECEIVE_BYTES = 1024
@@ -30,28 +31,36 @@
     return trio.SocketListener(trio.socket.from_stdlib_socket(sock))
 
 
+def create_front(execute: Callable[[str], Awaitable[str]], limits: Limits) -> StreamFront:
+    """Return the front that executes the commands of console clients."""
+
+    async def serve(connection: StreamConnection) -> None:
+        await serve_client(connection, execute, limits)
+
+    return StreamFront("console", serve, limits.max_console_connections)
+
+
 async def serve_client(
-    stream: trio.SocketStream, execute: Callable[[str], Awaitable[str]], limits: Limits
+    connection: StreamConnection, execute: Callable[[str], Awaitable[str]], limits: Limits
 ) -> None:
     """Answer the commands of one client until it disconnects, sends an overlong line, or is idle too long."""
     try:
-        async with stream:
-            lines = _LineReader(stream, limits)
-            while True:
-                line = await lines.read()
-                if line is None:
-                    return
-                answer = await execute(line)
-                await stream.send_all(f"{answer}\n".encode())
+        lines = _LineReader(connection, limits)
+        while True:
+            line = await lines.read()
+            if line is None:
+                return
+            answer = await execute(line)
+            await connection.send(f"{answer}\n".encode())
     except (trio.TooSlowError, trio.BrokenResourceError, trio.ClosedResourceError):
         return  # the client is idle or has disconnected; no answer is due
 
 
 class _LineReader:
-    """Reads lines from a stream, with limits on their length and on the idle time."""
+    """Reads lines from a connection, with limits on their length and on the idle time."""
 
-    def __init__(self, stream: trio.SocketStream, limits: Limits) -> None:
-        self._stream = stream
+    def __init__(self, connection: StreamConnection, limits: Limits) -> None:
+        self._connection = connection
         self._max_line_bytes = limits.max_console_line
         self._idle_timeout = limits.console_idle_timeout
         self._buffer = bytearray()
@@ -66,7 +75,7 @@
             if len(self._buffer) > self._max_line_bytes:
                 return None
             with trio.fail_after(self._idle_timeout):
-                data = await self._stream.receive_some(RECEIVE_BYTES)
+                data = await self._connection.receive(RECEIVE_BYTES)
             if not data:
                 return None
             self._buffer += data
--- a/brackenlane/dns/__init__.py
+++ b/brackenlane/dns/__init__.py
@@ -1,5 +1,5 @@
 """Authoritative DNS server for the operator's zone, which routes the clients of small sites.
 
-It owns its sockets and open queries; the request engine chooses the caches. Entry points: `server.Server`
-(sockets) and `responder.Responder` (queries to responses); `names` parses names under the zone.
+It owns its sockets and open queries; the request engine chooses the caches. Entry points: `tcp_server`
+and `udp_front` (sockets), `responder.Responder` (queries to responses); `names` parses names under the zone.
 """
--- a/brackenlane/lifecycle.py
+++ b/brackenlane/lifecycle.py
@@ -8,13 +8,16 @@
 import signal
 import socket
 import struct
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 from typing import Any
 
 import trio
 
 from brackenlane.config import ConfigError, Endpoint
+from brackenlane.limits import Limits
 from brackenlane.net.connector import family_of
+from brackenlane.net.front import Front
 from brackenlane.net.http_front import HttpFront
 from brackenlane.net.poller import Poller
 
@@ -71,6 +74,16 @@
         log.warning("cannot direct new connections to this process: %s", error.strerror)
 
 
+@dataclass(frozen=True, slots=True)
+class OtherFronts:
+    """The fronts of a process besides its HTTP front; each has to be named here to be drained."""
+
+    for_clients: Sequence[Front] = ()  # drained together with the HTTP front
+    until_the_end: Sequence[
+        Front
+    ] = ()  # drained last: operators watch the shutdown, and UDP cannot be closed
+
+
 class EarlySignalHandler:
     """Records a signal that arrives before a `SignalWatcher` is installed, which then reports it."""
 
@@ -139,6 +152,7 @@
     front: HttpFront,
     endpoint: Endpoint,
     name: str,
+    other_fronts: OtherFronts,
     count_older_processes: Callable[[], int] | None = None,
     on_serving: Callable[[], None] = lambda: None,
 ) -> None:
@@ -146,8 +160,9 @@
 
     During the shutdown another SIGTERM is ignored, and another SIGINT ends the program at once.
 
-    count_older_processes: returns how many earlier processes of this router listen on the same address; None:
-    the address is not shared. on_serving: called once connections are accepted.
+    other_fronts: those that serve already. count_older_processes: returns how many earlier processes of this
+    router listen on the same address; None: the address is not shared. on_serving: called once connections
+    are accepted.
     """
     with SignalWatcher(front.poller, signal.SIGTERM, signal.SIGINT) as stop:
         if count_older_processes is None:
@@ -163,32 +178,44 @@
         # remaining answers must be sent. A second Ctrl-C is intended to end the program at once.
         stop.release(signal.SIGINT)
         stop.ignore_when_left(signal.SIGTERM)
-        await _shut_down(front, name)
+        stages = (front, *other_fronts.for_clients), other_fronts.until_the_end
+        await _shut_down(stages, front.limits, name)
 
 
-async def _shut_down(front: HttpFront, name: str) -> None:
-    """Shut down in three steps with time limits: keep accepting, answer open requests, reject the rest."""
-    limits = front.limits
+async def _shut_down(stages: Sequence[Sequence[Front]], limits: Limits, name: str) -> None:
+    """Shut down in three steps with time limits: keep accepting, answer open requests, reject the rest.
+
+    stages: the fronts of each one are drained together, after those of the one before.
+    """
     log.info("%s leaves: it takes what comes for %.1f s more", name, limits.shutdown_accept_time)
     # Clients keep sending requests until they notice the shutdown, and each request has to be answered.
     await trio.sleep(limits.shutdown_accept_time)
     with trio.move_on_after(limits.shutdown_response_timeout) as last_answers:
-        await _close_listeners(front, limits.accept_pause)
-        front.start_draining()
-        await front.wait_until_closed()
+        for fronts in stages:
+            await _close_listeners(fronts, limits.accept_pause)
+            for front in fronts:
+                front.start_draining()
+            await _wait_until_closed(fronts)
     if last_answers.cancelled_caught:  # time is up: reject the rest, which is better than no answer
-        front.start_draining()
-        front.reject_open_requests()
+        all_fronts = [front for fronts in stages for front in fronts]
+        for front in all_fronts:
+            front.start_draining()
+            front.reject_open_requests()
         with trio.move_on_after(limits.shutdown_reject_timeout):
-            await front.wait_until_closed()
+            await _wait_until_closed(all_fronts)
 
 
-async def _close_listeners(front: HttpFront, pause: float) -> None:
+async def _close_listeners(fronts: Sequence[Front], pause: float) -> None:
     """Stop accepting connections; if system resources are short, retry after a pause until it succeeds."""
-    are_closed = front.stop_accepting()
-    while not are_closed:
+    remaining = [front for front in fronts if not front.stop_accepting()]
+    while remaining:
         await trio.sleep(pause)
-        are_closed = front.stop_accepting()
+        remaining = [front for front in remaining if not front.stop_accepting()]
+
+
+async def _wait_until_closed(fronts: Sequence[Front]) -> None:
+    for front in fronts:
+        await front.wait_until_closed()
 
 
 def _detach_socket(listener: trio.SocketListener) -> socket.socket:
--- a/brackenlane/limits.py
+++ b/brackenlane/limits.py
@@ -211,6 +211,7 @@
 
     # Admin console
     max_console_line: int = 1_024  # line length; a longer line closes the connection
+    max_console_connections: int = 64  # open connections; more are closed
     console_idle_timeout: float = 600.0  # time without a line; then the connection is closed
 
     def with_descriptors(self, descriptors: int) -> Limits:
--- a/brackenlane/ops/admin_api.py
+++ b/brackenlane/ops/admin_api.py
@@ -10,6 +10,8 @@
 import socket
 from dataclasses import replace
 
+import trio
+
 from brackenlane.clock import steady_time
 from brackenlane.core.timers import Timers
 from brackenlane.limits import Limits
@@ -39,6 +41,8 @@
         self._accept_pause = limits.accept_pause
         self._deadlines: dict[AdminConnection, float] = {}  # Unix times, oldest connection first
         self._listener: socket.socket | None = None
+        self._is_accept_paused = False
+        self._is_sent = trio.Event()
 
     def open(self, listener: socket.socket) -> None:
         """Start to accept connections."""
@@ -49,6 +53,7 @@
     def _accept(self, _: int) -> None:
         """Accept the pending connections, in one call at most as many as may be open at once."""
         assert self._listener is not None
+        self._is_accept_paused = False
         for _ in range(self._max_connections):
             try:
                 sock, _ = self._listener.accept()
@@ -74,12 +79,13 @@
     def _pause_accepting(self) -> None:
         """Stop polling the listener for a while; otherwise a pending connection would make the loop spin."""
         assert self._listener is not None
+        self._is_accept_paused = True
         self.poller.set_events(self._listener.fileno(), 0)
         self._timers.call_at(steady_time() + self._accept_pause, self._resume_accepting)
 
     def _resume_accepting(self) -> None:
-        assert self._listener is not None
-        self.poller.set_events(self._listener.fileno(), READ)
+        if self._listener:
+            self.poller.set_events(self._listener.fileno(), READ)
 
     def _close_for_new_connection(self) -> None:
         """Close the oldest answered connection, or the oldest one if none is answered.
@@ -96,6 +102,39 @@
     def on_closed(self, connection: AdminConnection) -> None:
         """Remove a closed connection from the table."""
         self._deadlines.pop(connection, None)
+        self.on_sent()
+
+    # Graceful shutdown; implements `net.front.Front`
+
+    def stop_accepting(self) -> bool:
+        """Accept the calls in the backlog, then no more; return False if they cannot be accepted."""
+        if self._listener is None:
+            return True
+        self._accept(self._listener.fileno())
+        if self._is_accept_paused:
+            return False
+        self.poller.remove(self._listener.fileno())
+        self._listener.close()
+        self._listener = None
+        return True
+
+    def start_draining(self) -> None:
+        """Answer the calls that have arrived, and close the connections without one."""
+        for connection in list(self._deadlines):
+            connection.start_draining()
+
+    async def wait_until_closed(self) -> None:
+        """Wait until all responses are sent."""
+        while any(connection.has_unsent_bytes for connection in self._deadlines):
+            self._is_sent = trio.Event()
+            await self._is_sent.wait()
+
+    def reject_open_requests(self) -> None:
+        """Do nothing: each call is answered when it is read."""
+
+    def on_sent(self) -> None:
+        """Notify the shutdown that a response is sent or its connection is closed."""
+        self._is_sent.set()
 
     def _close_expired(self) -> None:
         now = steady_time()
@@ -126,6 +165,18 @@
             self._parser.close()
             self._api.on_closed(self)
 
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Whether a part of the response is not sent yet."""
+        return bool(self._unsent)
+
+    def start_draining(self) -> None:
+        """Answer the call if it has arrived; close the connection if it has not."""
+        if not self.is_answered:
+            self.on_ready(READ)
+        if self._is_open and not self.is_answered:
+            self.close()
+
     def on_ready(self, events: int) -> None:
         """Handle readiness of the socket. events: a set of the poller's flags."""
         try:
@@ -190,3 +241,4 @@
         elif self.is_answered:
             self._api.poller.set_events(self._sock.fileno(), READ)
             self._sock.shutdown(socket.SHUT_WR)
+            self._api.on_sent()
--- a/brackenlane/platform_router.py
+++ b/brackenlane/platform_router.py
@@ -22,7 +22,7 @@
 from brackenlane.core.metrics import RequestMetrics
 from brackenlane.core.process_memory import MemoryMonitor, read_private_size, return_freed_blocks
 from brackenlane.core.response_cache import ResponseCache
-from brackenlane.lifecycle import SignalWatcher, open_listening_socket, serve_until_signal
+from brackenlane.lifecycle import OtherFronts, SignalWatcher, open_listening_socket, serve_until_signal
 from brackenlane.limits import BYTES_PER_MB, Limits
 from brackenlane.net.change_log import ChangeApplier, ChangeLogClient, ChangeLogSource
 from brackenlane.net.change_log_codec import Change, ChangeLogFormatError, read_configured_changes
@@ -74,6 +74,7 @@
     engine: RequestEngine
     pools: ConnectionPools
     front: HttpFront
+    admin_api: AdminApi | None  # None if none is configured
     orders: MaintenanceOrders
     handover: Handover | None  # None if there is no admin API or no handover log
     change_log: ChangeLogClient
@@ -153,6 +154,7 @@
             "memory_rejections": front.memory_rejection_count,
         }
 
+    admin_api = None
     if config.admin:
         routes = AdminRoutes(
             is_serving=lambda: front.is_serving,
@@ -173,7 +175,7 @@
         random.Random(config.seed),
     )
     return RouterParts(
-        poller, engine, pools, front, orders, handover, change_log, clock_steps, memory_monitor
+        poller, engine, pools, front, admin_api, orders, handover, change_log, clock_steps, memory_monitor
     )
 
 
@@ -233,15 +235,17 @@
     With an admin API, the listening address is shared with other processes of this router.
     """
     handover = parts.handover
+    others = OtherFronts(until_the_end=(parts.admin_api,) if parts.admin_api else ())
     if config.admin is None:
-        await serve_until_signal(parts.front, config.listen, config.name)
+        await serve_until_signal(parts.front, config.listen, config.name, others)
     elif handover is None:
-        await serve_until_signal(parts.front, config.listen, config.name, lambda: 0)
+        await serve_until_signal(parts.front, config.listen, config.name, others, lambda: 0)
     else:
         await serve_until_signal(
             parts.front,
             config.listen,
             config.name,
+            others,
             lambda: handover.older_process_count,
             handover.announce_serving,
         )
