Release the claims of rejected writes before the process ends

A write that an appliance with a store had claimed and then rejected without running it kept its claim for an hour if the process ended first: a repetition with the same id would have been answered 409 as taken already.

Cause: the claim is released by a task in the nursery that the end of the last front cancels.

Result: test_claim_of_a_rejected_write_is_released_before_the_end (stand-ins for client and claims) passes; without the wait its claim is not released when the front counts as closed.

--- a/brackenlane/net/http_front.py
+++ b/brackenlane/net/http_front.py
@@ -149,8 +149,9 @@
         self.intake.reject_all()
 
     async def wait_until_closed(self) -> None:
-        """Wait until no connection is open."""
+        """Wait until no connection is open, and no claim of a rejected write is left in the shared store."""
         await self.table.wait_until_closed()
+        await self.intake.wait_until_released()
 
     # Periodic check of deadlines
 
--- a/brackenlane/net/request_intake.py
+++ b/brackenlane/net/request_intake.py
@@ -49,6 +49,8 @@
         self._encoder = encoder
         self._claims = claims
         self._nursery = nursery
+        self._unreleased_count = 0  # claims of rejected writes that the shared store still holds
+        self._all_released = trio.Event()
         self._classes = {c.name: c for c in core.settings.classes}
         # Clients of the requests in flight, by wire id.
         self._clients_by_request: dict[str, ClientConnection] = {}
@@ -165,9 +167,26 @@
         self, client: ClientConnection, request: PendingRequest, claims: ClaimStore, answer: Answer
     ) -> None:
         if answer.disposition is Disposition.REJECTED and self._nursery:
-            self._nursery.start_soon(run_isolated, "release", claims.release, request.client_request_id)
+            self._unreleased_count += 1
+            self._nursery.start_soon(
+                run_isolated, "release", self._release, claims, request.client_request_id
+            )
         self._answer(client, request, answer)
 
+    async def _release(self, claims: ClaimStore, request_id: str) -> None:
+        try:
+            await claims.release(request_id)
+        finally:
+            self._unreleased_count -= 1
+            if not self._unreleased_count:
+                self._all_released.set()
+
+    async def wait_until_released(self) -> None:
+        """Wait until the claims of all rejected writes are released, so that clients may repeat them."""
+        while self._unreleased_count:
+            self._all_released = trio.Event()
+            await self._all_released.wait()
+
     def _reject(self, client: ClientConnection, request: PendingRequest) -> None:
         retry_after = self._context.limits.retry_after
         self._answer(client, request, Answer(Disposition.REJECTED, retry_after=retry_after))
--- a/tests/test_shutdown_fronts.py
+++ b/tests/test_shutdown_fronts.py
@@ -9,7 +9,7 @@
 from http import HTTPStatus
 from pathlib import Path
 from types import SimpleNamespace
-from typing import cast
+from typing import Any, cast
 
 import dns.message
 import dns.rcode
@@ -17,15 +17,22 @@
 import trio
 import trio.testing
 
+from brackenlane.core.claims import ClaimResult
+from brackenlane.core.engine import RequestEngine
+from brackenlane.core.engine_config import EngineConfig
+from brackenlane.core.requests import Answer, Disposition
 from brackenlane.core.timers import Timers
 from brackenlane.dns.query_answering import QueryAnswering
 from brackenlane.dns.responder import Responder
 from brackenlane.dns.tcp_server import create_tcp_front
 from brackenlane.limits import Limits
+from brackenlane.net.client_connection import ClientConnection
+from brackenlane.net.http_front import HttpFront
 from brackenlane.net.poller import Poller
 from brackenlane.net.stream_front import StreamConnection, StreamFront
 from brackenlane.ops.admin_api import AdminApi
 from brackenlane.ops.admin_routes import AdminResponse, AdminRoutes
+from brackenlane.routing.settings import RequestClass, Settings
 from tests.stand_ins import CacheStandIn, Redis, run_appliance, with_trio
 from tests.test_appliance import start_caches
 
@@ -231,3 +238,35 @@
         trio.run(end)
     assert received.startswith(b"HTTP/1.1 200")
     assert received.endswith(body)
+
+
+@with_trio
+async def test_claim_of_a_rejected_write_is_released_before_the_end() -> None:
+    """Guards against a rejected write whose repetition is refused for an hour as taken."""
+
+    class SlowClaims:
+        """Claims whose release takes a while."""
+
+        released = False
+
+        async def claim(self, txn: str) -> ClaimResult:
+            """Claim nothing."""
+            raise NotImplementedError(txn)
+
+        async def release(self, txn: str) -> None:
+            """Release after a while."""
+            await trio.sleep(0.05)
+            self.released = True
+
+    claims = SlowClaims()
+    limits = Limits()
+    settings = Settings("here", ("here",), (RequestClass("a", 0.5, 1.0),))
+    core = RequestEngine(EngineConfig(settings, 1, limits), lambda _: False)
+    async with trio.open_nursery() as nursery:
+        front = HttpFront(core, limits, Poller(limits.max_poll_events), claims, nursery)
+        client = cast(ClientConnection, SimpleNamespace(request=None, answer=lambda _: None))
+        request = cast(Any, SimpleNamespace(client_request_id="txn-1", must_run_once=False))
+        front.intake._answer_claimed(client, request, claims, Answer(Disposition.REJECTED, retry_after=1.0))
+        await front.wait_until_closed()
+        assert claims.released
+        nursery.cancel_scope.cancel()
