Test cluster: a link that refuses connections keeps its port reserved

Cause: a link that is set to refuse all connections closes its listener and binds the same port, one of the ephemeral range, when it is healed. Meanwhile any other program may be given that port.

Change: a link holds a bound socket on its port, which never listens, for as long as it exists. The kernel gives such a port to no connection and to no socket that asks for any port, and a connection to it is refused, as before.

--- a/brackenlane/lab/cluster/links.py
+++ b/brackenlane/lab/cluster/links.py
@@ -15,6 +15,8 @@
 
 import trio
 
+from brackenlane.lab.cluster.ports import reserve_any_port
+
 CHUNK_BYTES = 65_536
 TAIL_BYTES = 256  # bytes kept from earlier reads, to find a match that is split across two reads
 
@@ -36,6 +38,12 @@
 Observer = Callable[[int, bool, re.Match[bytes]], None]  # (router, whether the router sent it, match)
 
 
+async def _hold(reservation: socket.socket) -> None:
+    """Keep a port reserved until cancelled, also while the link refuses connections and doesn't listen."""
+    with reservation:
+        await trio.sleep_forever()
+
+
 class Link:
     """A listener that forwards connections to one server; the fault depends on the router that connects."""
 
@@ -64,12 +72,14 @@
     async def open(self, nursery: trio.Nursery) -> Link:
         """Start to listen on a port of 127.0.0.1."""
         self._nursery = nursery
+        reservation = reserve_any_port()
+        self.port = reservation.getsockname()[1]
+        nursery.start_soon(_hold, reservation)
         await self._listen()
         return self
 
     async def _listen(self) -> None:
         [listener] = await trio.open_tcp_listeners(self.port, host="127.0.0.1")
-        self.port = listener.socket.getsockname()[1]
         self._listening = scope = trio.CancelScope()
 
         async def accept() -> None:
--- a/brackenlane/lab/cluster/ports.py
+++ b/brackenlane/lab/cluster/ports.py
@@ -14,12 +14,28 @@
     doesn't listen is no conflict then).
     """
     for port in ports:
-        sock = socket.socket()
         try:
-            sock.bind(("127.0.0.1", port))
+            return _reserve(port)
         except OSError:
-            sock.close()
             continue
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        return sock
     raise OSError("all ports of the range are in use")
+
+
+def reserve_any_port() -> socket.socket:
+    """Bind a free port that the kernel chooses on 127.0.0.1; see `reserve_port`.
+
+    While it is bound, the kernel gives the port to no other socket: neither to a connection nor to a listener
+    that asks for any port.
+    """
+    return _reserve(0)
+
+
+def _reserve(port: int) -> socket.socket:
+    sock = socket.socket()
+    try:
+        sock.bind(("127.0.0.1", port))
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    except OSError:
+        sock.close()
+        raise
+    return sock
--- a/tests/test_lab_cluster.py
+++ b/tests/test_lab_cluster.py
@@ -11,6 +11,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from brackenlane.config import ConfigError
 from brackenlane.lab.cluster import invariants, links, ports, report, routers, script
@@ -334,3 +335,24 @@
     path, picture = report.save(outcome, tmp_path, "t")
     assert load(path).events == record.events
     assert picture.read_bytes().startswith(b"\x89PNG")
+
+
+def test_link_that_refuses_keeps_its_port() -> None:
+    """Guards against another program that takes the port of a link until the link is healed."""
+
+    async def refuse_and_heal() -> None:
+        async with trio.open_nursery() as nursery:
+            [server] = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            link = await links.Link(server.socket.getsockname()[1]).open(nursery)
+            await link.set(refuse=True)
+            await trio.testing.wait_all_tasks_blocked()  # the listener closes
+            with pytest.raises(OSError, match="all attempts to connect"):
+                await trio.open_tcp_stream("127.0.0.1", link.port)
+            with socket.socket() as other, pytest.raises(OSError, match="in use"):
+                other.bind(("127.0.0.1", link.port))
+            await link.heal()
+            await (await trio.open_tcp_stream("127.0.0.1", link.port)).aclose()
+            await server.aclose()
+            nursery.cancel_scope.cancel()
+
+    trio.run(refuse_and_heal)
