Date all clients that waited while the process stood still, not the first ones alone

Cause: in the first round after a stop the poller dates what it reads from before the stop. That round accepts 16 clients at most. Clients behind them in the backlog were accepted in the next round, which dates them as new. The same holds for sockets past the first batch of 512 events.

Ruled out: the detection of the stop (the clients before it in the backlog got the right time).

Change: after a stop the whole backlog is accepted in the same round, and the poller keeps the date of the stop until all sockets that are ready have been handled.

--- a/brackenlane/net/listener.py
+++ b/brackenlane/net/listener.py
@@ -21,7 +21,7 @@
 
 log = logging.getLogger(__name__)
 
-MAX_CLOSING_ACCEPTS = 8_192  # maximum accept(2) calls when a listener closes: twice its maximum backlog
+MAX_BACKLOG_ACCEPTS = 8_192  # maximum accept(2) calls for a whole backlog: twice its maximum length
 FIRST_ACCEPT_PAUSE = 0.005  # seconds after a shortage; doubles up to `Limits.accept_pause` while it lasts
 MAX_POLL_ADD_ATTEMPTS = 25  # attempts to register one accepted socket with epoll, over about two seconds
 
@@ -77,7 +77,7 @@
 
     def _accept_all(self, listening: socket.socket) -> bool:
         """Accept all clients in a backlog; return False if a shortage prevents that."""
-        for _ in range(MAX_CLOSING_ACCEPTS):
+        for _ in range(MAX_BACKLOG_ACCEPTS):
             try:
                 sock, _address = listening.accept()
             except BlockingIOError:
@@ -126,7 +126,7 @@
 
     def _accept_batch(self, listening: socket.socket) -> bool:
         """Accept a bounded number of clients; return whether more may be waiting."""
-        for _ in range(self._context.limits.max_accepts):
+        for _ in range(self._max_accepts()):
             try:
                 sock, _address = listening.accept()
             except BlockingIOError:
@@ -141,6 +141,14 @@
             self._admit_or_retry(sock, self._earliest_arrival())
         return True
 
+    def _max_accepts(self) -> int:
+        """Return how many clients to accept at once: all of a backlog that has waited while nobody accepted.
+
+        In a later round it would not be known any more that they have waited.
+        """
+        has_waited = self._earliest_arrival() < self._context.poller.polled_at
+        return MAX_BACKLOG_ACCEPTS if has_waited else self._context.limits.max_accepts
+
     def _earliest_arrival(self) -> float:
         """Return the earliest Unix time at which the client that is accepted now can have connected."""
         return min(self._context.poller.earliest_arrival, self._waiting_since)
--- a/brackenlane/net/poller.py
+++ b/brackenlane/net/poller.py
@@ -69,6 +69,8 @@
         # Unix time after which the client data read in this round arrived. It is the time of the poll, unless
         # the process was stopped before it.
         self.earliest_arrival = self.polled_at
+        # Whether sockets that became ready while the process was stopped are still to be handled.
+        self._is_catching_up = False
         self._last_ran_at = self.polled_at  # Unix time at which the process was last known to run
         self._batch = batch
         self._alone = blocks_thread
@@ -169,9 +171,14 @@
         more = self._handle(self._urgent, URGENT_BATCHES * self._batch)
         self.polled_at = steady_time()
         was_stopped = self.polled_at - self._last_ran_at > MIN_STOP_TIME
-        self.earliest_arrival = self._last_ran_at if was_stopped else self.polled_at
+        if was_stopped:
+            self.earliest_arrival = self._last_ran_at
+        elif not self._is_catching_up:
+            self.earliest_arrival = self.polled_at
         self._last_ran_at = self.polled_at
-        more |= self._handle(self._all, self._batch)
+        has_more_clients = self._handle(self._all, self._batch)
+        self._is_catching_up = has_more_clients and (was_stopped or self._is_catching_up)
+        more |= has_more_clients
         for work in self.round_callbacks:
             try:
                 more |= work()
