Publish to a slow store behind the console's answer, with one writer

Cause: the console's answer waits for the write, so the write had the short time of a claim, which a client waits for.

Change: the publisher's task is the only writer. A console waits up to 0.6 s for its change, or until an attempt that began after it has failed; a command may take 1 s. The repair adds to the outbox and no longer waits.

--- a/brackenlane/limits.py
+++ b/brackenlane/limits.py
@@ -192,6 +192,10 @@
     # Shared store
     # Time for a command; then the store counts as unavailable, early enough to reject a submit.
     store_command_timeout: float = 0.3
+    # Time for a command that publishes a change; longer, since it goes on behind the answer of the console.
+    store_publish_timeout: float = 1.0
+    # Time in which a change is published before the console answers that the store is away.
+    store_publish_wait: float = 0.6
     store_block_time: float = 5.0  # time for which the store may delay a reply while there are no updates
     max_store_events: int = 10_000  # events in the stream; the store drops the oldest
     store_page_size: int = 500  # entries or caches per request to the store
--- a/brackenlane/store/outbox.py
+++ b/brackenlane/store/outbox.py
@@ -55,6 +55,11 @@
         """Return the oldest event that was not sent; None if all were."""
         return next((entry.event for entry in self._entries.values() if not entry.is_sent), None)
 
+    def is_unsent(self, event: StoreEvent) -> bool:
+        """Return whether an event is still to be sent; not if a later one has taken its place."""
+        entry = self._entries.get(_target_of(event))
+        return entry is not None and entry.event is event and not entry.is_sent
+
     def mark_sent(self, event: StoreEvent) -> None:
         """Mark an event as sent, unless it has left meanwhile or a later one has taken its place."""
         entry = self._entries.get(_target_of(event))
--- a/brackenlane/store/publisher.py
+++ b/brackenlane/store/publisher.py
@@ -75,34 +75,50 @@
         self._applier = applier
         self._max_stream_length = limits.max_store_events
         self._rng = rng
-        self._lock = trio.Lock()
+        self._answer_time = limits.store_publish_wait
         self._wake_up = trio.Event()
+        self._progress = trio.Event()  # set when an event was written or an attempt has failed
+        self._attempt_count = 0
+        self._last_failed_attempt = 0
 
     async def publish(self, event: StoreEvent) -> PublishResult:
-        """Add an event to the outbox and try to write it and all before it."""
-        if not self.outbox.add(event):
+        """Add an event to the outbox, and wait a moment until it is written."""
+        next_attempt = self._attempt_count + 1  # an attempt under way may fail before it gets to this event
+        if not self.enqueue(event):
             return PublishResult.REFUSED
-        try:
-            await self.flush()
-        except StoreError as error:
-            log.warning("%s not published: %s", type(event).__name__, error)
-            self.wake_up()
-            return PublishResult.QUEUED
-        return PublishResult.WRITTEN
+        with trio.move_on_after(self._answer_time):
+            while self.outbox.is_unsent(event) and self._last_failed_attempt < next_attempt:
+                await self._progress.wait()
+        return PublishResult.QUEUED if self.outbox.is_unsent(event) else PublishResult.WRITTEN
+
+    def enqueue(self, event: StoreEvent) -> bool:
+        """Add an event to the outbox, to be written soon; return False if there is no room."""
+        if not self.outbox.add(event):
+            return False
+        self.wake_up()
+        return True
+
+    def resend_unacknowledged(self) -> None:
+        """Write all events again that were not read back; the store may have lost them."""
+        self.outbox.mark_all_unsent()
+        self.wake_up()
 
     def wake_up(self) -> None:
         """Retry soon: there is a new event, or the store has answered on another connection."""
         self._wake_up.set()
 
     async def run(self) -> None:
-        """Write the events that could not be written when they were published; until cancelled."""
+        """Write the events of the outbox until cancelled. Only one task may run this."""
         failures = 0
         while True:
             self._wake_up = trio.Event()
+            self._attempt_count += 1
             try:
-                await self.flush()
+                await self._write_unsent()
             except StoreError as error:
                 failures += 1
+                self._last_failed_attempt = self._attempt_count
+                self._notify_progress()
                 log.warning("changes wait for the store: %s", error)
                 await trio.sleep(MIN_RETRY_DELAY)
                 delay = jittered_backoff(failures, FIRST_RETRY_DELAY, MAX_RETRY_DELAY, self._rng)
@@ -112,17 +128,16 @@
                 failures = 0
                 await self._wake_up.wait()
 
-    async def flush(self) -> None:
+    async def _write_unsent(self) -> None:
         """Write the events that were not sent yet, oldest first. Raises StoreError if one cannot be sent."""
-        async with self._lock:
-            while event := self.outbox.next_unsent():
-                await self._write_on_live_connection(event)
-                self.outbox.mark_sent(event)
+        while event := self.outbox.next_unsent():
+            await self._write_on_live_connection(event)
+            self.outbox.mark_sent(event)
+            self._notify_progress()
 
-    async def resend_unacknowledged(self) -> None:
-        """Write again all events that were not read back. Raises StoreError if one cannot be sent."""
-        self.outbox.mark_all_unsent()
-        await self.flush()
+    def _notify_progress(self) -> None:
+        self._progress.set()
+        self._progress = trio.Event()
 
     async def _write_on_live_connection(self, event: StoreEvent) -> None:
         """Write an event; once more if the connection broke, since the store may have ended it at rest."""
@@ -204,7 +219,7 @@
 
     async def run(self) -> None:
         """Repair the store once. Raises StoreError."""
-        await self._publisher.resend_unacknowledged()
+        self._publisher.resend_unacknowledged()
         orders = self._registry.merge.orders
         missing = missing_orders(orders, self._applier.orders_in_store, OperatorOrder.supersedes)
         if not missing:
@@ -216,11 +231,7 @@
             if stored:
                 self._applier.orders_in_store[server] = stored
             if server in orders and orders[server].supersedes(stored):
-                await self._republish_order(server, orders[server])
-
-    async def _republish_order(self, server: str, order: OperatorOrder) -> None:
-        if await self._publisher.publish(OrderGiven(server, order)) is not PublishResult.WRITTEN:
-            raise StoreUnavailableError("orders that the store has lost can't be shared again yet")
+                self._publisher.enqueue(OrderGiven(server, orders[server]))
 
 
 def stored_order(text: str | None) -> OperatorOrder | None:
--- a/brackenlane/store/shared_store.py
+++ b/brackenlane/store/shared_store.py
@@ -11,7 +11,7 @@
 import logging
 import random
 import time
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
 import trio
@@ -74,9 +74,9 @@
         self.pacing = StorePacing(settings.router_name, settings.capacity, self._random)
         # Separate connections: a read that blocks until there are updates must not delay a claim, and a claim
         # that fails must not end the publisher's transaction.
-        command_connection = self._connection(on_answer=self._on_answer)
-        publish_connection = self._connection()
-        self._read_connection = self._connection(on_answer=self._on_answer)
+        command_connection = Connection(settings.endpoint, limits.store_command_timeout, self._on_answer)
+        publish_connection = Connection(settings.endpoint, limits.store_publish_timeout)
+        self._read_connection = Connection(settings.endpoint, limits.store_command_timeout, self._on_answer)
         self._reader = StoreReader(self._read_connection, self._keys, limits)
         self._tickets = LoadTickets(
             self._read_connection, self._keys, self.pacing, lifetime=limits.store_ticket_lifetime
@@ -98,9 +98,6 @@
         """The position in the event stream up to which everything has been applied."""
         return self.replica.position
 
-    def _connection(self, on_answer: Callable[[], None] = lambda: None) -> Connection:
-        return Connection(self._settings.endpoint, self._limits.store_command_timeout, on_answer)
-
     def _on_answer(self) -> None:
         """Retry what waits for the store, which has answered on another connection."""
         if self.outbox.next_unsent():
--- a/tests/test_outbox.py
+++ b/tests/test_outbox.py
@@ -35,7 +35,7 @@
 from tests.stand_ins import with_trio
 
 SITE = "branch.example"
-STALL = 1.0  # seconds by which a stalled store delays its replies; more than a command may take
+STALL = 1.5  # seconds by which a stalled store delays its replies; more than a command may take
 RETRY_LIMIT = 3.0  # seconds; a blocked read of the stream takes 5 s, so that its end cannot be what helps
 
 
@@ -106,6 +106,19 @@
         assert await shared.publisher.publish(drain("box-2")) is PublishResult.WRITTEN
 
 
+@with_trio
+async def test_slow_store_gets_a_change_although_commands_time_out() -> None:
+    """Guards against changes that never reach a store whose replies are later than a command may take."""
+    redis = Redis()
+    async with following_store(redis) as shared:
+        redis.extra_delay = 1.5 * Limits().store_command_timeout
+        assert await shared.publisher.publish(drain("box-1")) is PublishResult.QUEUED
+        with trio.fail_after(RETRY_LIMIT):
+            while shared.outbox.next_unsent():
+                await trio.sleep(0.01)
+        assert order_in_hash(redis, "box-1")
+
+
 @with_trio
 async def test_waiting_change_is_written_when_another_connection_gets_an_answer() -> None:
     """Guards against a change that waits for its backoff although the store serves this router again."""
@@ -115,7 +128,8 @@
         shared.publisher._rng.uniform = lambda *_: 60.0  # type: ignore[method-assign]
         redis.extra_delay = STALL
         assert await shared.publisher.publish(drain("box-1")) is PublishResult.QUEUED
-        await trio.sleep(1.0)  # the publisher has failed again and waits
+        while not shared.publisher._last_failed_attempt:
+            await trio.sleep(0.01)
         redis.extra_delay = 0.0
         assert shared.outbox.next_unsent()
         with trio.fail_after(RETRY_LIMIT):
--- a/tests/test_stored_forms.py
+++ b/tests/test_stored_forms.py
@@ -120,13 +120,17 @@
     """Write values in every format that the program writes to the store."""
     shared, _ = open_shared_store(redis)
     await run_until_current(redis, shared, [EDGE])
-    assert await shared.publisher.publish(CacheDefined(PARENT)) is PublishResult.WRITTEN
-    assert await shared.publisher.publish(OrderGiven("e-1", DRAIN)) is PublishResult.WRITTEN
-    assert await shared.publisher.publish(OrderGiven("p-1", RESTORE)) is PublishResult.WRITTEN
-    assert (
-        await shared.publisher.publish(PurgeRequested("clip", -1, 1_700_000_150.5)) is PublishResult.WRITTEN
-    )
-    assert await shared.publisher.publish(PurgeRequested("", 7, 1_700_000_160.0)) is PublishResult.WRITTEN
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(shared.publisher.run)
+        for event in (
+            CacheDefined(PARENT),
+            OrderGiven("e-1", DRAIN),
+            OrderGiven("p-1", RESTORE),
+            PurgeRequested("clip", -1, 1_700_000_150.5),
+            PurgeRequested("", 7, 1_700_000_160.0),
+        ):
+            assert await shared.publisher.publish(event) is PublishResult.WRITTEN
+        nursery.cancel_scope.cancel()
     assert await shared.claims.claim("txn-1") is ClaimResult.OURS
     assert await shared.claims.claim("txn-2") is ClaimResult.OURS
     await shared.claims.release("txn-2")
