A console answers an order as done only if it is in force

"box-1 restored" was answered for an order that did nothing: an earlier drain came from a router whose clock is some seconds ahead, and so counted as the later one. "box-1 drained" was answered past max_orders drains, and dropped.

Cause: an order had the time of this router's clock alone, and nobody looked whether it was kept.

Change: an order is at least a microsecond later than the one it follows here. One that cannot be kept is answered by "not done: N caches are drained; restore some first".

--- a/brackenlane/console/admin_console.py
+++ b/brackenlane/console/admin_console.py
@@ -10,6 +10,7 @@
 from brackenlane.coldstart.phases import StartupPhases
 from brackenlane.console import views
 from brackenlane.console.cache_health import CacheHealth
+from brackenlane.discovery.errors import TooManyOrdersError
 from brackenlane.discovery.registry import Registry
 from brackenlane.store.event_codec import MAX_GROUP, NO_GROUP, OrderGiven, PurgeRequested, StoreEvent
 from brackenlane.store.publisher import PublishResult
@@ -133,7 +134,10 @@
         return "".join(f"{line}\n" for line in lines)
 
     async def _issue_order(self, cache_id: str, drained: bool) -> str:
-        order = self._registry.drain(cache_id, drained, f"the console of {self._router_name}")
+        try:
+            order = self._registry.drain(cache_id, drained, f"the console of {self._router_name}")
+        except TooManyOrdersError as error:
+            return f"not done: {error}; restore some first\n"
         if order is None:
             return _unknown_cache(cache_id)
         action = "drained" if drained else "restored"
--- a/brackenlane/discovery/errors.py
+++ b/brackenlane/discovery/errors.py
@@ -19,6 +19,10 @@
     """A stored drain or restore with a missing, malformed or out-of-range field."""
 
 
+class TooManyOrdersError(DiscoveryError):
+    """An order that cannot be kept, since too many caches are drained."""
+
+
 class SnapshotError(StoredFormError):
     """A snapshot that can't be used."""
 
--- a/brackenlane/discovery/registry.py
+++ b/brackenlane/discovery/registry.py
@@ -7,11 +7,13 @@
 
 from brackenlane.clock import steady_time
 from brackenlane.config import Endpoint
+from brackenlane.discovery.errors import TooManyOrdersError
 from brackenlane.discovery.merge import MembershipMerge
 from brackenlane.discovery.recent_purges import RecentPurges, purges_after_restart
 from brackenlane.discovery.records import CacheDefinition, Change, DefinitionSource, OperatorOrder
 from brackenlane.routing.events import Event, Membership, MembershipKind, Purged
 
+ORDER_INTERVAL = 1e-6  # least seconds between two orders for a cache; double precision tells them apart
 UpdatePools = Callable[[dict[str, Endpoint], set[str], bool], None]
 
 
@@ -75,13 +77,23 @@
         self.apply(self.merge.order(cache_id, order))
 
     def drain(self, cache_id: str, drained: bool, by: str) -> OperatorOrder | None:
-        """Drain or restore a cache now; return the order, or None if the id is unknown."""
+        """Drain or restore a cache now; return the order, or None if the id is unknown.
+
+        Raises TooManyOrdersError if the order cannot be kept.
+        """
         if not self.merge.is_known(cache_id):
             return None
-        order = OperatorOrder(drained, steady_time(), by)
+        order = OperatorOrder(drained, self._time_of_next_order(cache_id), by)
         self.order(cache_id, order)
+        if self.merge.orders.get(cache_id) != order:
+            raise TooManyOrdersError(f"{len(self.merge.orders)} caches are drained")
         return order
 
+    def _time_of_next_order(self, cache_id: str) -> float:
+        """Return now, or a moment after the last order for a cache if its router's clock is ahead."""
+        previous = self.merge.orders.get(cache_id)
+        return max(steady_time(), previous.at + ORDER_INTERVAL) if previous else steady_time()
+
     def purge(self, obj: str, group: int, at: float) -> None:
         """Notify the core of a purge of an object or a group; `at` is the Unix time of the purge."""
         self._subscribers.core(Purged(obj, group, max(0.0, steady_time() - at)))
--- a/tests/test_outbox.py
+++ b/tests/test_outbox.py
@@ -15,10 +15,11 @@
 from brackenlane.clock import steady_time
 from brackenlane.coldstart.pacing import Capacity
 from brackenlane.coldstart.phases import StartupPhases
+from brackenlane.discovery.errors import TooManyOrdersError
 from brackenlane.discovery.merge import MembershipMerge
 from brackenlane.discovery.order_codec import encode_order
 from brackenlane.discovery.recent_purges import RecentPurges
-from brackenlane.discovery.records import OperatorOrder, Policy
+from brackenlane.discovery.records import CacheDefinition, DefinitionSource, OperatorOrder, Policy
 from brackenlane.discovery.registry import Registry
 from brackenlane.lab.stand_ins.redis import Redis, Transaction
 from brackenlane.limits import Limits
@@ -239,3 +240,32 @@
         redis.keys[f"brackenlane:{SITE}:orders"] = {"box-1": encode_operator_order("box-1", own.order)}
         assert await shared.publisher.publish(own) is PublishResult.WRITTEN
         await wait_until_in_store(redis, own)
+
+
+def registry_with_cache(policy: Policy) -> Registry:
+    """Return a registry that knows box-1 and box-2."""
+    registry = Registry(
+        MembershipMerge(policy), lambda _: None, lambda *_: None, RecentPurges(12.0, limit=10)
+    )
+    for cache in ("box-1", "box-2"):
+        registry.define(DefinitionSource.FILE, CacheDefinition(cache, "127.0.0.1", 80, "branch"))
+    return registry
+
+
+def test_order_behind_one_of_a_clock_ahead_holds() -> None:
+    """Guards against a console that answers "restored" for an order which the earlier one overrides."""
+    registry = registry_with_cache(Policy())
+    ahead = drain("box-1", steady_time() + 30.0)
+    registry.order("box-1", ahead.order)
+    restored = registry.drain("box-1", False, "the console of b")
+    assert restored
+    assert restored.supersedes(ahead.order)
+    assert registry.merge.orders["box-1"] == restored
+
+
+def test_order_that_cannot_be_kept_is_not_answered_as_done() -> None:
+    """Guards against a console that answers "drained" for an order past the limit, which is dropped."""
+    registry = registry_with_cache(Policy(max_orders=1))
+    assert registry.drain("box-1", True, "the console of a")
+    with pytest.raises(TooManyOrdersError):
+        registry.drain("box-2", True, "the console of a")
