Serve nothing at a start before the store was read, for 0.7 s at most

Cause: both fronts opened as soon as the file was read.

Change: with a store, the fronts open once it was read, or 0.7 s after the start if it does not answer: routers are to serve without it. A router that is stopped meanwhile ends as before.

--- a/brackenlane/appliance/program.py
+++ b/brackenlane/appliance/program.py
@@ -90,6 +90,8 @@
         start_discovery(config, limits, components, nursery)
         store = start_store(config, limits, components, bootstrap, nursery)
         snapshot_writer = start_snapshot_writer(config, limits, components, store, nursery)
+        if store:
+            await wait_for_orders(store, limits.store_start_wait)
         dns_fronts = await start_dns_fronts(config, limits, components, nursery)
         front = HttpFront(
             components.engine, limits, components.poller, store.claims if store else None, nursery
@@ -205,6 +207,15 @@
     return store
 
 
+async def wait_for_orders(store: SharedStore, time_limit: float) -> None:
+    """Wait until the store was read, so that no cache is used that was drained while this router was down.
+
+    time_limit: seconds; then the router serves without, since the store may be away for long.
+    """
+    with trio.move_on_after(time_limit):
+        await store.was_read.wait()
+
+
 def start_snapshot_writer(
     config: ApplianceConfig,
     limits: Limits,
--- a/brackenlane/limits.py
+++ b/brackenlane/limits.py
@@ -209,6 +209,8 @@
     store_file_lock_lifetime: int = 10
     # Time for which that file counts as written to the store; then it is written again.
     store_file_done_lifetime: int = 2_592_000
+    # Time after a start for which nothing is served until the store was read.
+    store_start_wait: float = 0.7
     # Time after a start without the store; then all objects count as purged.
     purge_recovery_timeout: float = 0.8
     claim_lifetime: int = 3_600  # time for which the id of a submit is claimed
--- a/brackenlane/store/shared_store.py
+++ b/brackenlane/store/shared_store.py
@@ -64,6 +64,7 @@
         position: StreamPosition = STREAM_START,
     ) -> None:
         """position: the registry already contains all entries of the event stream up to it."""
+        self.was_read = trio.Event()  # set once everything in the store has been applied
         self.fault = ""  # why the store is unavailable; empty while it is available
         self._settings = settings
         self._registry = registry
@@ -181,6 +182,7 @@
             await self.replica.load(self._registry.purges.lifetime)
         self.fault = ""
         self._phases.step(StartupEvent.CAUGHT_UP, steady_time())
+        self.was_read.set()
 
     def _apply_capacity_hint(self, state: StoreState) -> None:
         if not state.capacity_hint:
--- a/tests/test_console_changes.py
+++ b/tests/test_console_changes.py
@@ -4,6 +4,7 @@
 
 import os
 import signal
+import time
 from pathlib import Path
 
 import pytest
@@ -157,3 +158,29 @@
         assert purges_after_restart([("clip", -1, 4_997.0)], saved_at=4_999.0, now=now) == [
             ("clip", -1, now - 2.0)
         ]
+
+
+@with_trio
+async def test_router_that_starts_serves_nothing_before_it_has_read_the_orders(tmp_path: Path) -> None:
+    """Guards against requests to a box that was drained at another router while this one was down."""
+    async with trio.open_nursery() as nursery:
+        redis = await Redis().open(nursery)
+        redis.extra_delay = 0.1  # of each reply, so that the start takes longer than usual
+        caches = await start_caches(nursery, "box-1", "box-2")
+        order = {"id": "box-1", "drained": True, "at": time.time(), "by": "another router"}
+        redis.order(ZONE, order)
+        async with run_appliance(tmp_path, caches, redis=redis) as (_running, port, _path):
+            assert not record_texts(await send_query(port, f"box-1.boxes.{ZONE}"))
+        nursery.cancel_scope.cancel()
+
+
+@with_trio
+async def test_router_that_starts_without_its_store_serves_all_the_same(tmp_path: Path) -> None:
+    """Guards against a start that waits for a store which is away for long."""
+    async with trio.open_nursery() as nursery:
+        redis = await Redis().open(nursery)
+        await redis.close()
+        caches = await start_caches(nursery, "box-1", "box-2")
+        async with run_appliance(tmp_path, caches, redis=redis) as (running, *_):
+            assert (await running.request_object())[0] == 200
+        nursery.cancel_scope.cancel()
