Divide the publisher: the writer of an event and the repair are modules of their own

publisher.py keeps the queue and its retries; event_writer.py compares and writes one event; repair.py finds what the store lacks.

--- a/brackenlane/store/shared_store.py
+++ b/brackenlane/store/shared_store.py
@@ -30,13 +30,15 @@
 from brackenlane.store.errors import StoreCommandError, StoreDataError, StoreError, StoreTimeoutError
 from brackenlane.store.event_applier import EventApplier
 from brackenlane.store.event_codec import decode_own_event
+from brackenlane.store.event_writer import EventWriter
 from brackenlane.store.file_registration import FileRegistration
 from brackenlane.store.idempotency_claims import RedisClaimStore
 from brackenlane.store.keys import StoreKeys
 from brackenlane.store.load_tickets import LoadTickets
 from brackenlane.store.outbox import Outbox
-from brackenlane.store.publisher import Publisher, StoreRepair
+from brackenlane.store.publisher import Publisher
 from brackenlane.store.reader import StoreReader, StoreState
+from brackenlane.store.repair import StoreRepair
 from brackenlane.store.replica import Replica
 
 log = logging.getLogger(__name__)
@@ -88,9 +90,8 @@
             command_connection, self._keys, settings.router_name, limits.claim_lifetime
         )
         self.outbox = Outbox(limits.max_unshared_changes)
-        self.publisher = Publisher(
-            publish_connection, self._keys, limits, self.outbox, self.applier, self._random
-        )
+        writer = EventWriter(publish_connection, self._keys, limits.max_store_events, self.applier)
+        self.publisher = Publisher(writer, self.outbox, limits, self._random)
         self._repair = StoreRepair(command_connection, self._keys, self.publisher, registry, self.applier)
         self.replica = Replica(self._reader, registry, self.applier, self.outbox, position)
 
--- a/tests/test_outbox.py
+++ b/tests/test_outbox.py
@@ -30,12 +30,14 @@
     encode_event,
     encode_operator_order,
 )
+from brackenlane.store.event_writer import stored_order
 from brackenlane.store.outbox import Outbox
-from brackenlane.store.publisher import PublishResult, stored_order
+from brackenlane.store.publisher import PublishResult
 from brackenlane.store.shared_store import SharedStore, StoreSettings
 from tests.stand_ins import with_trio
 
 SITE = "branch.example"
+LIMITS = Limits()
 STALL = 1.5  # seconds by which a stalled store delays its replies; more than a command may take
 RETRY_LIMIT = 3.0  # seconds; a blocked read of the stream takes 5 s, so that its end cannot be what helps
 
@@ -45,20 +47,20 @@
     return OrderGiven(cache, OperatorOrder(True, at or steady_time(), "the console of a"))
 
 
-def open_store(redis: Redis, name: str = "a") -> SharedStore:
+def open_store(redis: Redis, registry: Registry, limits: Limits) -> SharedStore:
     """Return one router's access to a store."""
-    purges = RecentPurges(12.0, limit=10)
-    registry = Registry(MembershipMerge(Policy()), lambda _: None, lambda *_: None, purges)
-    settings = StoreSettings(("127.0.0.1", redis.port), SITE, name, Capacity())
-    return SharedStore(settings, registry, Limits(), StartupPhases(0.0))
+    settings = StoreSettings(("127.0.0.1", redis.port), SITE, "a", Capacity())
+    return SharedStore(settings, registry, limits, StartupPhases(0.0))
 
 
 @asynccontextmanager
-async def following_store(redis: Redis) -> AsyncIterator[SharedStore]:
+async def following_store(
+    redis: Redis, registry: Registry | None = None, limits: Limits = LIMITS
+) -> AsyncIterator[SharedStore]:
     """Run one router's access to a store that it has read."""
     async with trio.open_nursery() as nursery:
         await redis.open(nursery)
-        shared = open_store(redis)
+        shared = open_store(redis, registry or registry_with_cache(Policy()), limits)
         nursery.start_soon(shared.run, [])
         await redis.read_started.wait()
         yield shared
@@ -99,7 +101,7 @@
     redis = Redis()
     async with following_store(redis) as shared:
         assert await shared.publisher.publish(drain("box-1")) is PublishResult.WRITTEN
-        stream = shared.publisher._connection._stream
+        stream = shared.publisher._writer._connection._stream
         assert stream
         with socket.socket(fileno=os.dup(stream.socket.fileno())) as duplicate:
             duplicate.shutdown(socket.SHUT_RDWR)  # unnoticed by the router, as the store's end at rest is
@@ -112,7 +114,7 @@
     """Guards against changes that never reach a store whose replies are later than a command may take."""
     redis = Redis()
     async with following_store(redis) as shared:
-        redis.extra_delay = 1.5 * Limits().store_command_timeout
+        redis.extra_delay = 1.5 * LIMITS.store_command_timeout
         assert await shared.publisher.publish(drain("box-1")) is PublishResult.QUEUED
         with trio.fail_after(RETRY_LIMIT):
             while shared.outbox.next_unsent():
