Repair a store that lacks more orders than the outbox holds

A store that came back empty got the first 1,000 orders of a router, and no more until the next reconnection.

Cause: the repair added all orders to the outbox at once, which refuses what it has no room for.

Result: the new test (20 orders, an outbox for 4) fails before the change and passes now.

--- a/brackenlane/store/repair.py
+++ b/brackenlane/store/repair.py
@@ -6,11 +6,12 @@
 from brackenlane.discovery.records import OperatorOrder
 from brackenlane.discovery.registry import Registry
 from brackenlane.store.connection import Connection
+from brackenlane.store.errors import StoreUnavailableError
 from brackenlane.store.event_applier import EventApplier
 from brackenlane.store.event_codec import OrderGiven
 from brackenlane.store.event_writer import stored_order
 from brackenlane.store.keys import StoreKeys
-from brackenlane.store.publisher import Publisher
+from brackenlane.store.publisher import Publisher, PublishResult
 
 
 class StoreRepair:
@@ -44,4 +45,9 @@
             if stored:
                 self._applier.orders_in_store[server] = stored
             if server in orders and orders[server].supersedes(stored):
-                self._publisher.enqueue(OrderGiven(server, orders[server]))
+                await self._republish_order(server, orders[server])
+
+    async def _republish_order(self, server: str, order: OperatorOrder) -> None:
+        # One by one: a store that has lost everything lacks more orders than the outbox has room for.
+        if await self._publisher.publish(OrderGiven(server, order)) is not PublishResult.WRITTEN:
+            raise StoreUnavailableError("orders that the store has lost can't be shared again yet")
--- a/tests/test_outbox.py
+++ b/tests/test_outbox.py
@@ -7,6 +7,7 @@
 import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 import pytest
 import trio
@@ -233,6 +234,19 @@
                 await trio.sleep(0.01)
 
 
+@with_trio
+async def test_store_that_has_lost_more_orders_than_the_outbox_holds_gets_them_all() -> None:
+    """Guards against orders that a full outbox refuses, so that a store which came back empty lacks them."""
+    redis = Redis()
+    registry = registry_with_cache(Policy())
+    for number in range(20):
+        registry.order(f"box-{number}", drain(f"box-{number}").order)
+    async with following_store(redis, registry, replace(LIMITS, max_unshared_changes=4)):
+        with trio.fail_after(RETRY_LIMIT):
+            while len(redis.keys.get(f"brackenlane:{SITE}:orders", {})) < 20:
+                await trio.sleep(0.01)
+
+
 @with_trio
 async def test_order_without_its_stream_entry_is_completed() -> None:
     """Guards against an order that others never get: its write failed between the hash and the stream."""
