A message that is no DNS query gets no answer when the time of a shutdown is up

In the last 0.1 s of a shutdown a datagram of under three bytes raised in the UDP front, and a response to nobody's query was answered.

Cause: SERVFAIL was built from any message, while a serving front looks at the header first.

Change: failure_response looks at the header in the same way.

Result: the new test fails before the change (4 of 4 messages) and passes now.

--- a/brackenlane/dns/query_answering.py
+++ b/brackenlane/dns/query_answering.py
@@ -4,10 +4,9 @@
 
 import logging
 
-import dns.rcode
 import trio
 
-from brackenlane.dns.responder import Responder, error_response
+from brackenlane.dns.responder import Responder, failure_response
 
 log = logging.getLogger(__name__)
 
@@ -23,7 +22,7 @@
     async def answer(self, wire: bytes, udp: bool) -> bytes | None:
         """Return the response to one message; None if it must not be answered."""
         if self._is_rejecting:
-            return error_response(wire, dns.rcode.SERVFAIL)
+            return failure_response(wire)
         with trio.CancelScope() as scope:
             self._scopes.add(scope)
             try:
@@ -32,7 +31,7 @@
                 log.exception("DNS query failed")
             finally:
                 self._scopes.discard(scope)
-        return error_response(wire, dns.rcode.SERVFAIL)
+        return failure_response(wire)
 
     def reject_all(self) -> None:
         """Answer all open queries with SERVFAIL, and from now on every new one."""
--- a/brackenlane/dns/responder.py
+++ b/brackenlane/dns/responder.py
@@ -100,7 +100,7 @@
 
     def _respond_to_malformed(self, wire: bytes) -> bytes | None:
         """Return an error response to a query; None for a response or if the header is incomplete."""
-        if len(wire) < HEADER_BYTES or wire[2] & RESPONSE_BIT:
+        if not _is_query(wire):
             return None
         opcode = wire[2] & OPCODE_BITS
         code = dns.rcode.FORMERR if opcode == 0 else dns.rcode.NOTIMP
@@ -275,6 +275,18 @@
         return dns.rrset.from_text(name, 0, dns.rdataclass.IN, record_type, text)
 
 
+def failure_response(wire: bytes) -> bytes | None:
+    """Return SERVFAIL without reading the query; None if the message must not be answered."""
+    if not _is_query(wire):
+        return None
+    return error_response(wire, dns.rcode.SERVFAIL)
+
+
+def _is_query(wire: bytes) -> bool:
+    """Return whether a message has a complete header and is no response."""
+    return len(wire) >= HEADER_BYTES and not wire[2] & RESPONSE_BIT
+
+
 def error_response(wire: bytes, code: dns.rcode.Rcode) -> bytes:
     """Return a response without records to a query with a complete header."""
     flags = RESPONSE_BIT | (wire[2] & (OPCODE_BITS | RECURSION_DESIRED_BIT))
--- a/tests/test_shutdown_fronts.py
+++ b/tests/test_shutdown_fronts.py
@@ -157,6 +157,19 @@
     assert {dns.message.from_wire(reply).rcode() for reply in replies} == {dns.rcode.SERVFAIL}
 
 
+@pytest.mark.parametrize(
+    "wire",
+    [b"", b"ab", b"ab\x01" + bytes(8), b"ab\x81" + bytes(9)],
+    ids=["empty", "id only", "cut header", "response"],
+)
+@with_trio
+async def test_message_that_is_no_query_is_not_answered_when_time_is_up(wire: bytes) -> None:
+    """Guards against a short datagram that ends the front, and two servers that answer each other."""
+    answering = QueryAnswering(cast(Responder, None))
+    answering.reject_all()
+    assert await answering.answer(wire, udp=True) is None
+
+
 @with_trio
 async def test_console_command_in_flight_at_the_end_is_answered(tmp_path: Path) -> None:
     """Guards against a change that is carried out, and whose operator is not told so."""
