Tests start routers with the default action of SIGINT, whatever the run inherited

Cause: a shell without job control starts background commands with SIGINT ignored. The tests and their routers inherit that, and the interpreter installs no handler for an ignored signal.

Change: the tests' routers start with the default action of SIGINT. What the tests ask is unchanged.

--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -6,6 +6,7 @@
 import functools
 import itertools
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -194,6 +195,8 @@
         cwd=ROOT,
         env={**os.environ, **env},
         stderr=subprocess.PIPE,
+        # A test run in the background of a shell ignores SIGINT, and its processes would inherit that.
+        preexec_fn=functools.partial(signal.signal, signal.SIGINT, signal.SIG_DFL),
     )
     log_output = bytearray()
     running = RouterProcess(process, port, log_output)
