Date a backlog after a stop by its length, and accept it in small batches as before

A crowd of clients that connect again as soon as they are closed kept one round of the router busy for 3 s, in which nobody else got an answer.

Cause: after a stop, for which a round of over 0.05 s counts, the whole backlog was accepted and read in one round, and the crowd refilled it meanwhile.

Change: the kernel says how many clients wait (TCP_INFO of a listening socket). As many of the clients that are accepted next, 16 in a round as before, are dated before the stop; later ones are not.

--- a/brackenlane/net/listener.py
+++ b/brackenlane/net/listener.py
@@ -15,13 +15,14 @@
 from brackenlane.net.client_state import ClientState
 from brackenlane.net.connection_services import ConnectionServices
 from brackenlane.net.connection_table import ConnectionTable
+from brackenlane.net.delayed_backlog import DelayedBacklog
 from brackenlane.net.front_context import FrontContext
 from brackenlane.net.poller import READ
 from brackenlane.net.socket_errors import is_shortage
 
 log = logging.getLogger(__name__)
 
-MAX_BACKLOG_ACCEPTS = 8_192  # maximum accept(2) calls for a whole backlog: twice its maximum length
+MAX_CLOSING_ACCEPTS = 8_192  # maximum accept(2) calls when a listener closes: twice its maximum backlog
 FIRST_ACCEPT_PAUSE = 0.005  # seconds after a shortage; doubles up to `Limits.accept_pause` while it lasts
 MAX_POLL_ADD_ATTEMPTS = 25  # attempts to register one accepted socket with epoll, over about two seconds
 
@@ -37,6 +38,7 @@
         self._table = table
         self._services = services
         self._sockets: list[socket.socket] = []
+        self._delayed: dict[socket.socket, DelayedBacklog] = {}  # by listening socket
         self._accept_pause = FIRST_ACCEPT_PAUSE
         self._waiting_since = math.inf  # Unix time since which clients may have been waiting to be accepted
         self._unpolled_count = 0  # accepted sockets that are not yet registered with epoll
@@ -51,6 +53,7 @@
         """Start accepting clients on these sockets; the listener closes them."""
         for listening in sockets:
             self._sockets.append(listening)
+            self._delayed[listening] = DelayedBacklog()
             self._context.poller.add(listening.fileno(), functools.partial(self._on_ready, listening))
 
     def stop_accepting(self) -> bool:
@@ -72,12 +75,13 @@
 
     def _close(self, listening: socket.socket) -> None:
         self._sockets.remove(listening)
+        del self._delayed[listening]
         self._context.poller.remove(listening.fileno())
         listening.close()
 
     def _accept_all(self, listening: socket.socket) -> bool:
         """Accept all clients in a backlog; return False if a shortage prevents that."""
-        for _ in range(MAX_BACKLOG_ACCEPTS):
+        for _ in range(MAX_CLOSING_ACCEPTS):
             try:
                 sock, _address = listening.accept()
             except BlockingIOError:
@@ -87,7 +91,8 @@
                 if is_shortage(error.errno) and not self._table.close_one_without_request():
                     return False
                 continue
-            self._admit_or_retry(sock, self._earliest_arrival())
+            delayed_arrival = self._delayed[listening].take_next()
+            self._admit_or_retry(sock, min(delayed_arrival, self._earliest_arrival()))
         return True
 
     def admit(self, sock: socket.socket, earliest_arrival: float = math.inf) -> None:
@@ -126,11 +131,15 @@
 
     def _accept_batch(self, listening: socket.socket) -> bool:
         """Accept a bounded number of clients; return whether more may be waiting."""
-        for _ in range(self._max_accepts()):
+        delayed = self._delayed[listening]
+        if self._earliest_arrival() < self._context.poller.polled_at:
+            delayed.add_waiting(listening, self._earliest_arrival())
+        for _ in range(self._context.limits.max_accepts):
             try:
                 sock, _address = listening.accept()
             except BlockingIOError:
                 self._waiting_since = math.inf
+                delayed.clear()
                 return False
             except OSError as error:
                 if is_shortage(error.errno):
@@ -138,17 +147,9 @@
                     return False
                 continue  # the client has already closed the connection
             self._accept_pause = FIRST_ACCEPT_PAUSE
-            self._admit_or_retry(sock, self._earliest_arrival())
+            self._admit_or_retry(sock, min(delayed.take_next(), self._earliest_arrival()))
         return True
 
-    def _max_accepts(self) -> int:
-        """Return how many clients to accept at once: all of a backlog that has waited while nobody accepted.
-
-        In a later round it would not be known any more that they have waited.
-        """
-        has_waited = self._earliest_arrival() < self._context.poller.polled_at
-        return MAX_BACKLOG_ACCEPTS if has_waited else self._context.limits.max_accepts
-
     def _earliest_arrival(self) -> float:
         """Return the earliest Unix time at which the client that is accepted now can have connected."""
         return min(self._context.poller.earliest_arrival, self._waiting_since)
--- a/tests/test_stopped_process.py
+++ b/tests/test_stopped_process.py
@@ -8,10 +8,11 @@
 
 import errno
 import functools
+import math
 import signal
 import socket
 import time
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, ExitStack
 from pathlib import Path
 
 import pytest
@@ -20,6 +21,7 @@
 from brackenlane.clock import steady_time
 from brackenlane.lab.faults.shim import FaultShim, SystemCall
 from brackenlane.limits import Limits
+from brackenlane.net.delayed_backlog import DelayedBacklog
 from brackenlane.net.poller import MIN_STOP_TIME, Poller
 from tests.stand_ins import CacheStandIn, run_platform, with_trio
 from tests.test_request_lifecycle import read_request_bytes
@@ -139,3 +141,20 @@
             [received] = [one for cache in (edge, origin) for one in cache.received if one.id == "2" * 16]
             assert int(received.fields["budget"]) / 1000 <= TTL - SHORTAGE_DURATION + BUDGET_SLACK
         nursery.cancel_scope.cancel()
+
+
+def test_only_clients_that_waited_are_dated_before_the_stop() -> None:
+    """Guards against later clients dated as old, and those of one stop dated by another."""
+    with socket.create_server(("127.0.0.1", 0)) as listening, ExitStack() as clients:
+        delayed = DelayedBacklog()
+
+        def connect(count: int) -> None:
+            for _ in range(count):
+                clients.enter_context(socket.create_connection(listening.getsockname()))
+
+        connect(2)
+        delayed.add_waiting(listening, 5.0)
+        connect(1)
+        delayed.add_waiting(listening, 7.0)
+        connect(1)
+        assert [delayed.take_next() for _ in range(4)] == [5.0, 5.0, 7.0, math.inf]
